--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -37,12 +37,7 @@
 impl Request {
     /// Makes a reading request.
     pub(crate) fn get(path: impl Into<String>) -> Self {
-        Self {
-            method: Method::GET,
-            path: path.into(),
-            body: None,
-            operation: None,
-        }
+        Self { method: Method::GET, path: path.into(), body: None, operation: None }
     }
 }
 
@@ -65,19 +60,10 @@
 impl Source {
     /// Reads the addresses from the arguments or the environment.
     pub(crate) fn new(arguments: &Arguments) -> Self {
-        let given = arguments
-            .sources
-            .clone()
-            .or_else(|| std::env::var(SOURCES_VARIABLE).ok());
+        let given = arguments.sources.clone().or_else(|| std::env::var(SOURCES_VARIABLE).ok());
         let text = given.unwrap_or_else(|| DEFAULT_SOURCE.to_owned());
-        let addresses = text
-            .split(',')
-            .map(|address| address.trim().to_owned())
-            .collect();
-        Self {
-            addresses,
-            patience: Duration::from_secs(arguments.patience),
-        }
+        let addresses = text.split(',').map(|address| address.trim().to_owned()).collect();
+        Self { addresses, patience: Duration::from_secs(arguments.patience) }
     }
 
     /// Returns the time to keep trying.
@@ -87,10 +73,7 @@
 
     /// Sends a request until a member answers it or patience ends.
     pub(crate) async fn send(&self, request: &Request) -> Result<Value, CommandError> {
-        let client = Client::builder()
-            .disable_redirects()
-            .timeout(REQUEST_LIMIT)
-            .finish();
+        let client = Client::builder().disable_redirects().timeout(REQUEST_LIMIT).finish();
         let until = Instant::now() + self.patience;
         loop {
             let mut last = CommandError::Unreachable("no address is given".to_owned());
@@ -137,9 +120,7 @@
     let status = response.status();
     if status == StatusCode::TEMPORARY_REDIRECT {
         let location = response.headers().get(header::LOCATION);
-        let location = location
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default();
+        let location = location.and_then(|value| value.to_str().ok()).unwrap_or_default();
         return Reply::Redirect(location.to_owned());
     }
     let body = match response.body().limit(MAX_ANSWER).await {
@@ -161,9 +142,7 @@
     };
     let is_unknown = run != NOT_RUN && request.operation.is_some();
     let error = match &request.operation {
-        Some(operation) if is_unknown => CommandError::Unknown {
-            operation: operation.clone(),
-        },
+        Some(operation) if is_unknown => CommandError::Unknown { operation: operation.clone() },
         _ => CommandError::Refused {
             status: u64::from(status.as_u16()),
             code: document["code"].as_u64().unwrap_or(0),
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -33,26 +33,14 @@
             read(&source, path, true, output::print_json).await
         }
         Verb::Moves(verb) => {
-            read(
-                &source,
-                "/v1/moves".to_owned(),
-                verb.json,
-                output::print_moves,
-            )
-            .await
+            read(&source, "/v1/moves".to_owned(), verb.json, output::print_moves).await
         }
         Verb::Move(verb) => {
             let path = format!("/v1/moves/{}", verb.name);
             read(&source, path, verb.json, output::print_move).await
         }
         Verb::Targets(verb) => {
-            read(
-                &source,
-                "/v1/targets".to_owned(),
-                verb.json,
-                output::print_targets,
-            )
-            .await
+            read(&source, "/v1/targets".to_owned(), verb.json, output::print_targets).await
         }
         Verb::Check(verb) => check::check(verb),
         Verb::Keys(verb) => keys::keys(verb),
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -10,21 +10,14 @@
 pub(crate) fn check(arguments: &Check) -> Result<(), CommandError> {
     let text = read_text(&arguments.patch)?;
     let patch = Patch::parse(&text).map_err(CommandError::Faulty)?;
-    let staged = patch
-        .stage(&Document::default(), Version::new(1))
-        .map_err(CommandError::Faulty)?;
-    println!(
-        "{}: valid, {} resources",
-        arguments.patch.display(),
-        staged.len()
-    );
+    let staged =
+        patch.stage(&Document::default(), Version::new(1)).map_err(CommandError::Faulty)?;
+    println!("{}: valid, {} resources", arguments.patch.display(), staged.len());
     Ok(())
 }
 
 /// Reads a file.
 pub(crate) fn read_text(path: &std::path::Path) -> Result<String, CommandError> {
-    std::fs::read_to_string(path).map_err(|source| CommandError::File {
-        path: path.to_owned(),
-        source,
-    })
+    std::fs::read_to_string(path)
+        .map_err(|source| CommandError::File { path: path.to_owned(), source })
 }
--- a/crates/cli/src/command/keys.rs
+++ b/crates/cli/src/command/keys.rs
@@ -28,15 +28,9 @@
 
 fn init(arguments: &KeysInit) -> Result<(), CommandError> {
     let dir = &arguments.dir;
-    create_dir_all(dir).map_err(|source| CommandError::File {
-        path: dir.clone(),
-        source,
-    })?;
+    create_dir_all(dir).map_err(|source| CommandError::File { path: dir.clone(), source })?;
     if dir.join(CA_KEY).exists() {
-        let detail = format!(
-            "{} holds an authority already; use another folder",
-            dir.display()
-        );
+        let detail = format!("{} holds an authority already; use another folder", dir.display());
         return Err(CommandError::Argument(detail));
     }
     let (authority, key) = Authority::generate()?;
@@ -54,25 +48,15 @@
     let authority = Authority::load(&certificate, &read_text(&dir.join(CA_KEY))?)?;
     let (name, zone) = (arguments.name.clone(), arguments.zone.clone());
     let issued = authority.issue(&Grant { name, zone, roles })?;
-    write(
-        &dir.join(format!("{}.pem", arguments.name)),
-        &issued.certificate,
-    )?;
+    write(&dir.join(format!("{}.pem", arguments.name)), &issued.certificate)?;
     write(&dir.join(format!("{}.key", arguments.name)), &issued.key)
 }
 
 /// Writes a file that only the owner can read.
 fn write(path: &Path, text: &str) -> Result<(), CommandError> {
-    let failed = |source| CommandError::File {
-        path: path.to_owned(),
-        source,
-    };
+    let failed = |source| CommandError::File { path: path.to_owned(), source };
     let mut options = OpenOptions::new();
-    options
-        .create(true)
-        .write(true)
-        .truncate(true)
-        .mode(PRIVATE);
+    options.create(true).write(true).truncate(true).mode(PRIVATE);
     let mut file = options.open(path).map_err(failed)?;
     file.write_all(text.as_bytes()).map_err(failed)
 }
--- a/crates/cli/src/command/submit.rs
+++ b/crates/cli/src/command/submit.rs
@@ -22,11 +22,7 @@
     let patch: Value = serde_json::from_str(&text).map_err(|error| {
         let mut faults = Faults::default();
         let code = kingcuplift_core::ResultCode::PatchMalformed;
-        faults.push(
-            code,
-            arguments.patch.display().to_string(),
-            error.to_string(),
-        );
+        faults.push(code, arguments.patch.display().to_string(), error.to_string());
         CommandError::Faulty(faults)
     })?;
     let operation = arguments.operation.clone().unwrap_or_else(new_operation);
@@ -97,11 +93,7 @@
             () if known > 0 && in_force == known => break,
             () if Instant::now() >= until => {
                 bar.finish_and_clear();
-                return Err(CommandError::Waited {
-                    version,
-                    in_force,
-                    known,
-                });
+                return Err(CommandError::Waited { version, in_force, known });
             }
             () => actix_rt::time::sleep(POLL).await,
         }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -77,13 +77,8 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         let code = match self {
             Self::Faulty(_) | Self::Argument(_) => EXIT_INPUT,
-            Self::Refused {
-                status: STATUS_CONFLICT,
-                ..
-            } => EXIT_CONFLICT,
-            Self::Refused {
-                status: 400..=499, ..
-            } => EXIT_INPUT,
+            Self::Refused { status: STATUS_CONFLICT, .. } => EXIT_CONFLICT,
+            Self::Refused { status: 400..=499, .. } => EXIT_INPUT,
             Self::Unknown { .. } => EXIT_UNKNOWN,
             Self::Waited { .. } => EXIT_WAIT,
             _ => EXIT_FAILURE,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -25,10 +25,7 @@
     println!("note: {}", text(document, "note"));
     println!("patch: {}", document["patch"]);
     let progress = &document["progress"];
-    println!(
-        "in force: {} of {} nodes",
-        progress["in_force"], progress["known"]
-    );
+    println!("in force: {} of {} nodes", progress["in_force"], progress["known"]);
     let zones = progress["zones"].as_object();
     for (zone, counts) in zones.into_iter().flatten() {
         println!("  {zone}: {} of {}", counts["in_force"], counts["known"]);
@@ -73,10 +70,7 @@
 }
 
 fn items<'a>(document: &'a Value, field: &str) -> &'a [Value] {
-    document[field]
-        .as_array()
-        .map(Vec::as_slice)
-        .unwrap_or_default()
+    document[field].as_array().map(Vec::as_slice).unwrap_or_default()
 }
 
 fn text<'a>(document: &'a Value, field: &str) -> &'a str {
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -30,10 +30,7 @@
     let version = site.submit(0, &first_patch());
     assert_eq!(version, 1);
     for node in ["node-1", "node-2", "node-3"] {
-        let reply = site
-            .call(node, Method::GET, "/catalogue", node)
-            .await
-            .expect("an answer");
+        let reply = site.call(node, Method::GET, "/catalogue", node).await.expect("an answer");
         assert_eq!(reply.status, 200, "{node}");
         assert_eq!(reply.body["call"], node);
     }
@@ -72,27 +69,13 @@
     site.kill(&leader);
     let patch = json!({ "zones": { "colombo-b": { "state": "in" } } });
     let path = site.write("zone.json", &patch);
-    let arguments = [
-        "submit",
-        &path,
-        "--base",
-        "1",
-        "--operation",
-        "op-1",
-        "--json",
-        "--wait",
-    ];
+    let arguments = ["submit", &path, "--base", "1", "--operation", "op-1", "--json", "--wait"];
     assert_eq!(site.command_json(&arguments)["version"], 2);
     site.start(&leader);
     let other = site.leader().await;
-    site.wait_health(&leader, "catching up", |reply| reply.body["head"] == 2)
-        .await;
+    site.wait_health(&leader, "catching up", |reply| reply.body["head"] == 2).await;
     site.kill(&other);
-    assert_eq!(
-        site.command_json(&arguments)["version"],
-        2,
-        "a resend gets the first answer"
-    );
+    assert_eq!(site.command_json(&arguments)["version"], 2, "a resend gets the first answer");
     assert_eq!(site.command_json(&["versions", "--json"])["head"], 2);
 }
 
@@ -100,14 +83,8 @@
 async fn equal_numbers_race() {
     let site = Site::builder().relays(1).nodes(1).start().await;
     site.submit(0, &first_patch());
-    let one = site.write(
-        "one.json",
-        &json!({ "zones": { "colombo-a": { "state": "out" } } }),
-    );
-    let two = site.write(
-        "two.json",
-        &json!({ "zones": { "colombo-b": { "state": "out" } } }),
-    );
+    let one = site.write("one.json", &json!({ "zones": { "colombo-a": { "state": "out" } } }));
+    let two = site.write("two.json", &json!({ "zones": { "colombo-b": { "state": "out" } } }));
     let submit = |path: &str| site.command(&["submit", path, "--base", "1", "--number", "2"]);
     let codes = [submit(&one).status.code(), submit(&two).status.code()];
     assert_eq!(codes, [Some(0), Some(3)]);
@@ -122,34 +99,18 @@
     for source in ["source-1", "source-2", "source-3"] {
         site.kill(source);
     }
-    let reply = site
-        .call("node-1", Method::GET, "/", "before")
-        .await
-        .expect("an answer");
-    assert_eq!(
-        reply.status, 200,
-        "an outage of the source leaves calls alone"
-    );
+    let reply = site.call("node-1", Method::GET, "/", "before").await.expect("an answer");
+    assert_eq!(reply.status, 200, "an outage of the source leaves calls alone");
     site.kill("node-1");
     site.start("node-1");
-    site.wait_health("node-1", "the link", |reply| reply.body["linked"] == true)
-        .await;
+    site.wait_health("node-1", "the link", |reply| reply.body["linked"] == true).await;
     actix_rt::time::sleep(Duration::from_secs(1)).await;
-    let reply = site
-        .call("node-1", Method::GET, "/", "during")
-        .await
-        .expect("an answer");
-    assert_eq!(
-        reply.body["code"], NODE_NOT_READY,
-        "nothing proves that the relay is current"
-    );
+    let reply = site.call("node-1", Method::GET, "/", "during").await.expect("an answer");
+    assert_eq!(reply.body["code"], NODE_NOT_READY, "nothing proves that the relay is current");
     for source in ["source-1", "source-2", "source-3"] {
         site.start(source);
     }
-    site.wait_health("node-1", "a proved version", |reply| {
-        reply.body["version"] == 1
-    })
-    .await;
+    site.wait_health("node-1", "a proved version", |reply| reply.body["version"] == 1).await;
 }
 
 #[actix_rt::test]
@@ -158,38 +119,22 @@
     site.submit(0, &first_patch());
     site.kill("relay-1");
     let output = site.command(&["zone", "out", "colombo-b", "--wait"]);
-    assert!(
-        output.status.success(),
-        "{}",
-        String::from_utf8_lossy(&output.stderr)
-    );
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     for node in ["node-1", "node-2", "node-3"] {
-        site.wait_health(node, "the new version", |reply| reply.body["version"] == 2)
-            .await;
+        site.wait_health(node, "the new version", |reply| reply.body["version"] == 2).await;
     }
     let before = site.runs("target-2").await;
     for number in 0..50 {
         let node = ["node-1", "node-2", "node-3"][number % 3];
-        let reply = site
-            .call(node, Method::POST, "/", "zone")
-            .await
-            .expect("an answer");
+        let reply = site.call(node, Method::POST, "/", "zone").await.expect("an answer");
         assert_eq!(reply.status, 200);
     }
-    assert_eq!(
-        site.runs("target-2").await,
-        before,
-        "no new work in the zone"
-    );
+    assert_eq!(site.runs("target-2").await, before, "no new work in the zone");
 }
 
 #[actix_rt::test]
 async fn planned_stop_loses_nothing() {
-    let mut site = Site::builder()
-        .target_flag("--service-ms")
-        .target_flag("20")
-        .start()
-        .await;
+    let mut site = Site::builder().target_flag("--service-ms").target_flag("20").start().await;
     site.submit(0, &first_patch());
     let callers = 4;
     let calls = (0..callers).map(|worker| {
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -102,10 +102,7 @@
 
     /// Returns the facts about one version.
     pub fn version(&self, version: Version) -> Option<&VersionInfo> {
-        let index = self
-            .versions
-            .binary_search_by_key(&version, |info| info.version)
-            .ok()?;
+        let index = self.versions.binary_search_by_key(&version, |info| info.version).ok()?;
         self.versions.get(index)
     }
 
@@ -116,12 +113,7 @@
             return None;
         }
         let mut document = self.feed.document().clone();
-        for info in self
-            .versions
-            .iter()
-            .rev()
-            .take_while(|info| info.version > version)
-        {
+        for info in self.versions.iter().rev().take_while(|info| info.version > version) {
             for (key, prior) in &info.prior {
                 document.replace(key, prior.clone());
             }
@@ -157,15 +149,11 @@
 
     /// Encodes the whole state.
     pub fn encode(&self) -> Vec<u8> {
-        let resources = self
-            .feed
-            .document()
-            .iter()
-            .map(|(key, stored)| wire::ResourceRecord {
-                key: key.to_string(),
-                json: stored.json.to_string(),
-                changed: stored.changed.get(),
-            });
+        let resources = self.feed.document().iter().map(|(key, stored)| wire::ResourceRecord {
+            key: key.to_string(),
+            json: stored.json.to_string(),
+            changed: stored.changed.get(),
+        });
         let outcomes = self.order.iter().filter_map(|operation| {
             let kept = self.outcomes.get(operation)?;
             Some(encode_outcome(operation, kept))
@@ -208,23 +196,16 @@
             false => Version::new(submission.base),
         };
         if submission.number != 0 && submission.number != head.next().get() {
-            let detail = format!(
-                "the head is version {head}; the next number is {}",
-                head.next()
-            );
+            let detail = format!("the head is version {head}; the next number is {}", head.next());
             return Err(refused(ResultCode::NumberConflict, "number", &detail));
         }
         if base > head || base < self.oldest_base() {
-            let detail = format!(
-                "version {base} can't be a base; use {} to {head}",
-                self.oldest_base()
-            );
+            let detail =
+                format!("version {base} can't be a base; use {} to {head}", self.oldest_base());
             return Err(refused(ResultCode::BaseUnknown, "base", &detail));
         }
         let patch = Patch::parse(&submission.patch).map_err(refused_all)?;
-        let staged = patch
-            .stage(self.feed.document(), head.next())
-            .map_err(refused_all)?;
+        let staged = patch.stage(self.feed.document(), head.next()).map_err(refused_all)?;
         self.check_base(base, &staged)?;
         Ok(staged)
     }
@@ -270,10 +251,7 @@
     }
 
     fn remember(&mut self, submission: &Submission, outcome: Outcome) {
-        let kept = Kept {
-            content: content_hash(submission),
-            outcome,
-        };
+        let kept = Kept { content: content_hash(submission), outcome };
         self.insert_outcome(submission.operation.clone(), kept);
     }
 
@@ -290,9 +268,7 @@
     fn restore_outcome(&mut self, outcome: wire::Outcome) -> Result<(), CatalogError> {
         let restored = match outcome.version {
             0 => {
-                let code = ResultCode::ALL
-                    .iter()
-                    .find(|c| u32::from(c.number()) == outcome.code);
+                let code = ResultCode::ALL.iter().find(|c| u32::from(c.number()) == outcome.code);
                 let faults = serde_json::from_str::<Value>(&outcome.faults).unwrap_or_default();
                 Outcome::Refused {
                     code: *code.ok_or_else(|| CatalogError::Faulty("unknown code".to_owned()))?,
@@ -301,10 +277,7 @@
             }
             version => Outcome::Accepted(Version::new(version)),
         };
-        let kept = Kept {
-            content: outcome.content,
-            outcome: restored,
-        };
+        let kept = Kept { content: outcome.content, outcome: restored };
         self.insert_outcome(outcome.operation, kept);
         Ok(())
     }
@@ -321,9 +294,7 @@
 /// Returns whether staged resources include `key` or refer to it.
 fn touches(staged: &Staged, key: &ResourceKey) -> bool {
     let refers = |change: &Option<Stored>| {
-        change
-            .as_ref()
-            .is_some_and(|stored| stored.resource.references().contains(key))
+        change.as_ref().is_some_and(|stored| stored.resource.references().contains(key))
     };
     staged.contains_key(key) || staged.values().any(refers)
 }
@@ -335,48 +306,28 @@
     digest.add(&numbers, &submission.patch);
     digest.add("note", &submission.note);
     let bytes = digest.to_bytes();
-    bytes
-        .iter()
-        .take(8)
-        .fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+    bytes.iter().take(8).fold(0, |hash, byte| hash << 8 | u64::from(*byte))
 }
 
 fn refused(code: ResultCode, path: &str, detail: &str) -> Outcome {
-    Outcome::Refused {
-        code,
-        faults: vec![Fault::new(code, path, detail)],
-    }
+    Outcome::Refused { code, faults: vec![Fault::new(code, path, detail)] }
 }
 
 /// Makes an outcome whose code is that of the first fault.
 fn refused_all(faults: Faults) -> Outcome {
     let number = faults.0.first().map(|fault| fault.code);
-    let code = ResultCode::ALL
-        .iter()
-        .copied()
-        .find(|code| Some(code.number()) == number);
-    Outcome::Refused {
-        code: code.unwrap_or(ResultCode::PatchMalformed),
-        faults: faults.0,
-    }
+    let code = ResultCode::ALL.iter().copied().find(|code| Some(code.number()) == number);
+    Outcome::Refused { code: code.unwrap_or(ResultCode::PatchMalformed), faults: faults.0 }
 }
 
 fn encode_outcome(operation: &str, kept: &Kept) -> wire::Outcome {
     let (version, code, faults) = match &kept.outcome {
         Outcome::Accepted(version) => (version.get(), 0, String::new()),
-        Outcome::Refused { code, faults } => (
-            0,
-            code.number().into(),
-            serde_json::to_string(faults).unwrap_or_default(),
-        ),
+        Outcome::Refused { code, faults } => {
+            (0, code.number().into(), serde_json::to_string(faults).unwrap_or_default())
+        }
     };
-    wire::Outcome {
-        operation: operation.to_owned(),
-        version,
-        code,
-        faults,
-        content: kept.content,
-    }
+    wire::Outcome { operation: operation.to_owned(), version, code, faults, content: kept.content }
 }
 
 fn decode_faults(value: &Value) -> Vec<Fault> {
@@ -385,10 +336,7 @@
     items
         .iter()
         .map(|fault| Fault {
-            code: fault["code"]
-                .as_u64()
-                .and_then(|n| u16::try_from(n).ok())
-                .unwrap_or_default(),
+            code: fault["code"].as_u64().and_then(|n| u16::try_from(n).ok()).unwrap_or_default(),
             path: text(fault, "path"),
             detail: text(fault, "detail"),
         })
@@ -446,12 +394,5 @@
     let mut faults = Faults::default();
     let resource = Resource::parse(&key, &value, &mut faults)
         .ok_or_else(|| CatalogError::Faulty(faults.to_string()))?;
-    Ok((
-        key,
-        Stored {
-            json: json.into(),
-            resource,
-            changed: Version::new(changed),
-        },
-    ))
+    Ok((key, Stored { json: json.into(), resource, changed: Version::new(changed) }))
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -76,10 +76,7 @@
     /// Returns the addresses of all resources of one kind.
     pub fn keys_of(&self, kind: Kind) -> impl Iterator<Item = &ResourceKey> {
         let first = ResourceKey::new(kind, "");
-        self.resources
-            .range(first..)
-            .map(|(key, _)| key)
-            .take_while(move |key| key.kind == kind)
+        self.resources.range(first..).map(|(key, _)| key).take_while(move |key| key.kind == kind)
     }
 
     /// Stores or removes a resource and returns what stood there before.
@@ -98,13 +95,7 @@
     /// Returns the document as one JSON object, by kind and name.
     pub fn to_json(&self) -> Value {
         let mut kinds = Map::new();
-        for kind in [
-            Kind::Services,
-            Kind::Routes,
-            Kind::Priorities,
-            Kind::Moves,
-            Kind::Zones,
-        ] {
+        for kind in [Kind::Services, Kind::Routes, Kind::Priorities, Kind::Moves, Kind::Zones] {
             kinds.insert(kind.as_str().to_owned(), Value::Object(Map::new()));
         }
         for (key, stored) in &self.resources {
@@ -117,23 +108,17 @@
     fn index(&mut self, key: &ResourceKey, stored: &Stored) {
         self.digest.add(&key.to_string(), &stored.json);
         for target in stored.resource.references() {
-            self.referrers
-                .entry(target)
-                .or_default()
-                .insert(key.clone());
+            self.referrers.entry(target).or_default().insert(key.clone());
         }
         if let Resource::Route(route) = &stored.resource {
-            self.matches
-                .insert((route.host.clone(), route.prefix.clone()), key.clone());
+            self.matches.insert((route.host.clone(), route.prefix.clone()), key.clone());
         }
     }
 
     fn unindex(&mut self, key: &ResourceKey, stored: &Stored) {
         self.digest.remove(&key.to_string(), &stored.json);
         for target in stored.resource.references() {
-            let Some(set) = self.referrers.get_mut(&target) else {
-                continue;
-            };
+            let Some(set) = self.referrers.get_mut(&target) else { continue };
             set.remove(key);
             if set.is_empty() {
                 self.referrers.remove(&target);
--- a/crates/config/src/feed.rs
+++ b/crates/config/src/feed.rs
@@ -67,11 +67,7 @@
         head: Version,
         resources: impl IntoIterator<Item = (ResourceKey, Stored)>,
     ) -> Self {
-        let mut feed = Self {
-            head,
-            oldest: head,
-            ..Self::default()
-        };
+        let mut feed = Self { head, oldest: head, ..Self::default() };
         for (key, stored) in resources {
             feed.document.replace(&key, Some(stored));
         }
@@ -144,10 +140,7 @@
         Update {
             base: have.get(),
             version: self.head.get(),
-            changes: changes
-                .into_iter()
-                .map(|(key, json)| wire_change(&key, json))
-                .collect(),
+            changes: changes.into_iter().map(|(key, json)| wire_change(&key, json)).collect(),
             digest: self.digest(subscription).to_bytes().to_vec(),
             full: false,
         }
@@ -156,15 +149,11 @@
     /// Makes the update that replaces whatever a receiver holds.
     pub fn full_update(&self, subscription: &Subscription) -> Update {
         let keys = subscription.closure(&self.document);
-        let stored = keys
-            .iter()
-            .filter_map(|key| Some((key, self.document.get(key)?)));
+        let stored = keys.iter().filter_map(|key| Some((key, self.document.get(key)?)));
         Update {
             base: 0,
             version: self.head.get(),
-            changes: stored
-                .map(|(key, s)| wire_change(key, Some(s.json.to_string())))
-                .collect(),
+            changes: stored.map(|(key, s)| wire_change(key, Some(s.json.to_string()))).collect(),
             digest: self.digest(subscription).to_bytes().to_vec(),
             full: true,
         }
@@ -183,10 +172,7 @@
             true => {}
             false if version == self.head && base < version => return Ok(Applied::Stale),
             false if base != self.head => {
-                return Err(UpdateError::Gap {
-                    base,
-                    head: self.head,
-                });
+                return Err(UpdateError::Gap { base, head: self.head });
             }
             false => {}
         }
@@ -241,11 +227,7 @@
             .keys_of(Kind::Priorities)
             .chain(staged.keys().filter(|key| key.kind == Kind::Priorities))
             .filter(|key| !used.contains(*key))
-            .filter(|key| {
-                self.document
-                    .referrers(key)
-                    .all(|route| staged.contains_key(route))
-            })
+            .filter(|key| self.document.referrers(key).all(|route| staged.contains_key(route)))
             .cloned()
             .collect();
         for key in unused {
@@ -274,18 +256,8 @@
     /// Returns, for each resource changed since `have`, its content at `have`.
     fn prior_since(&self, have: Version) -> BTreeMap<&ResourceKey, Option<&Stored>> {
         let mut prior = BTreeMap::new();
-        for change in self
-            .changes
-            .iter()
-            .rev()
-            .take_while(|change| change.version > have)
-        {
-            prior.extend(
-                change
-                    .prior
-                    .iter()
-                    .map(|(key, before)| (key, before.as_ref())),
-            );
+        for change in self.changes.iter().rev().take_while(|change| change.version > have) {
+            prior.extend(change.prior.iter().map(|(key, before)| (key, before.as_ref())));
         }
         prior
     }
@@ -307,9 +279,8 @@
             Some(stored) if covered(stored) => {
                 let references = stored.resource.references();
                 let partial = *subscription != Subscription::All;
-                for target in references
-                    .into_iter()
-                    .filter(|t| partial && t.kind == Kind::Priorities)
+                for target in
+                    references.into_iter().filter(|t| partial && t.kind == Kind::Priorities)
                 {
                     let json = self.document.get(&target).map(|s| s.json.to_string());
                     changes.insert(target, json);
@@ -337,10 +308,7 @@
 
 /// Writes one change as a message.
 fn wire_change(key: &ResourceKey, json: Option<String>) -> ResourceChange {
-    ResourceChange {
-        key: key.to_string(),
-        json,
-    }
+    ResourceChange { key: key.to_string(), json }
 }
 
 /// Reads one change from a message.
@@ -362,21 +330,13 @@
     let value = match serde_json::from_str(json) {
         Ok(value) => value,
         Err(error) => {
-            faults.push(
-                ResultCode::UpdateRefused,
-                change.key.as_str(),
-                error.to_string(),
-            );
+            faults.push(ResultCode::UpdateRefused, change.key.as_str(), error.to_string());
             return Err(faults);
         }
     };
     match Resource::parse(&key, &value, &mut faults) {
         Some(resource) => {
-            let stored = Stored {
-                json: json.as_str().into(),
-                resource,
-                changed: version,
-            };
+            let stored = Stored { json: json.as_str().into(), resource, changed: version };
             Ok((key, Some(stored)))
         }
         None => Err(faults),
--- a/crates/config/src/frame.rs
+++ b/crates/config/src/frame.rs
@@ -31,14 +31,10 @@
         false => None,
     };
     match compressed {
-        Some(short) if short.len() < body.len() => UpdateFrame {
-            encoding: Encoding::Zstd.into(),
-            body: short.into(),
-        },
-        _ => UpdateFrame {
-            encoding: Encoding::Plain.into(),
-            body: body.into(),
-        },
+        Some(short) if short.len() < body.len() => {
+            UpdateFrame { encoding: Encoding::Zstd.into(), body: short.into() }
+        }
+        _ => UpdateFrame { encoding: Encoding::Plain.into(), body: body.into() },
     }
 }
 
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -40,10 +40,7 @@
     pub fn parse(text: &str) -> Result<Self, Faults> {
         let mut faults = Faults::default();
         if text.len() > MAX_PATCH.as_usize() {
-            let detail = format!(
-                "the patch has {} bytes; send at most {MAX_PATCH}",
-                text.len()
-            );
+            let detail = format!("the patch has {} bytes; send at most {MAX_PATCH}", text.len());
             faults.push(ResultCode::PatchTooLarge, "", detail);
             return Err(faults);
         }
@@ -65,11 +62,7 @@
             return Err(faults);
         }
         let Value::Object(object) = value else {
-            faults.push(
-                ResultCode::PatchMalformed,
-                "",
-                "the patch is not a JSON object",
-            );
+            faults.push(ResultCode::PatchMalformed, "", "the patch is not a JSON object");
             return Err(faults);
         };
         let mut kinds = BTreeMap::new();
@@ -78,11 +71,7 @@
                 Value::Null => Part::RemoveAll,
                 Value::Object(names) => Part::Merge(names),
                 _ => {
-                    faults.push(
-                        ResultCode::PatchWrongType,
-                        name,
-                        "a kind holds a JSON object",
-                    );
+                    faults.push(ResultCode::PatchWrongType, name, "a kind holds a JSON object");
                     continue;
                 }
             };
@@ -141,19 +130,10 @@
     };
     merge(&mut value, change);
     let json: Arc<str> = value.to_string().into();
-    let Some(resource) = Resource::parse(&key, &value, faults) else {
-        return;
-    };
+    let Some(resource) = Resource::parse(&key, &value, faults) else { return };
     let unchanged = current.is_some_and(|stored| stored.json == json);
     if !unchanged {
-        staged.insert(
-            key,
-            Some(Stored {
-                json,
-                resource,
-                changed: version,
-            }),
-        );
+        staged.insert(key, Some(Stored { json, resource, changed: version }));
     }
 }
 
@@ -166,9 +146,7 @@
     if !target.is_object() {
         *target = Value::Object(Map::new());
     }
-    let Some(object) = target.as_object_mut() else {
-        return;
-    };
+    let Some(object) = target.as_object_mut() else { return };
     for (name, change) in changes {
         match change {
             Value::Null => drop(object.remove(name)),
@@ -184,10 +162,7 @@
         None => document.contains(key),
     };
     for (key, change) in staged {
-        let references = change
-            .as_ref()
-            .map(|s| s.resource.references())
-            .unwrap_or_default();
+        let references = change.as_ref().map(|s| s.resource.references()).unwrap_or_default();
         for target in references.iter().filter(|target| !exists(target)) {
             let detail = format!("{target} does not exist; add it or refer to another");
             faults.push(ResultCode::PatchUnknownReference, key.to_string(), detail);
@@ -208,9 +183,7 @@
 fn check_matches(document: &Document, staged: &Staged, faults: &mut Faults) {
     let mut seen: HashMap<(&SmolStr, &SmolStr), &ResourceKey> = HashMap::new();
     for (key, change) in staged {
-        let Some(Resource::Route(route)) = change.as_ref().map(|s| &s.resource) else {
-            continue;
-        };
+        let Some(Resource::Route(route)) = change.as_ref().map(|s| &s.resource) else { continue };
         let standing = document
             .route_at(&route.host, &route.prefix)
             .filter(|other| *other != key && !staged.contains_key(*other));
@@ -226,9 +199,7 @@
 fn check_moves(document: &Document, staged: &Staged, faults: &mut Faults) {
     let mut seen: HashMap<&ServiceName, &ResourceKey> = HashMap::new();
     for (key, change) in staged {
-        let Some(Resource::Move(spec)) = change.as_ref().map(|s| &s.resource) else {
-            continue;
-        };
+        let Some(Resource::Move(spec)) = change.as_ref().map(|s| &s.resource) else { continue };
         let service = ResourceKey::new(Kind::Services, spec.service.as_str());
         let standing = document
             .referrers(&service)
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -84,10 +84,7 @@
 impl ResourceKey {
     /// Makes the address of `name` within `kind`.
     pub fn new(kind: Kind, name: &str) -> Self {
-        Self {
-            kind,
-            name: SmolStr::new(name),
-        }
+        Self { kind, name: SmolStr::new(name) }
     }
 }
 
@@ -101,9 +98,8 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (kind, name) = text
-            .split_once('/')
-            .ok_or_else(|| format!("{text:?} is not of the form kind/name"))?;
+        let (kind, name) =
+            text.split_once('/').ok_or_else(|| format!("{text:?} is not of the form kind/name"))?;
         let name = ServiceName::from_str(name).map_err(|error| error.to_string())?;
         Ok(Self::new(kind.parse()?, name.as_str()))
     }
@@ -221,11 +217,7 @@
 /// Reads `value` as a message, reporting each faulty field.
 fn read<T: DeserializeOwned>(path: &str, value: &Value, faults: &mut Faults) -> Option<T> {
     let Some(object) = value.as_object() else {
-        faults.push(
-            ResultCode::PatchWrongType,
-            path,
-            "the resource is not a JSON object",
-        );
+        faults.push(ResultCode::PatchWrongType, path, "the resource is not a JSON object");
         return None;
     };
     check_fields::<T>(
@@ -246,21 +238,13 @@
 {
     let Some(text) = text else {
         let detail = format!("the field {field:?} is required");
-        faults.push(
-            ResultCode::PatchMissingField,
-            format!("{path}/{field}"),
-            detail,
-        );
+        faults.push(ResultCode::PatchMissingField, format!("{path}/{field}"), detail);
         return None;
     };
     match text.parse() {
         Ok(value) => Some(value),
         Err(error) => {
-            faults.push(
-                ResultCode::PatchBadValue,
-                format!("{path}/{field}"),
-                error.to_string(),
-            );
+            faults.push(ResultCode::PatchBadValue, format!("{path}/{field}"), error.to_string());
             None
         }
     }
@@ -285,14 +269,7 @@
 fn parse_service(path: &str, value: &Value, faults: &mut Faults) -> Option<ServiceSpec> {
     let wire: wire::Service = read(path, value, faults)?;
     let mut count = |field: &str, value, default, min| {
-        number(
-            &format!("{path}/{field}"),
-            value,
-            default,
-            min,
-            MAX_COUNT,
-            faults,
-        )
+        number(&format!("{path}/{field}"), value, default, min, MAX_COUNT, faults)
     };
     let slots = count("slots", wire.slots, DEFAULT_SLOTS, 1);
     let connections = count("connections", wire.connections, DEFAULT_CONNECTIONS, 1);
@@ -306,12 +283,7 @@
         }
     }
     let idempotent = wire.idempotent_methods.iter().map(SmolStr::new).collect();
-    Some(ServiceSpec {
-        slots,
-        connections,
-        idempotent,
-        queue,
-    })
+    Some(ServiceSpec { slots, connections, idempotent, queue })
 }
 
 fn parse_route(path: &str, value: &Value, faults: &mut Faults) -> Option<RouteSpec> {
@@ -329,14 +301,7 @@
     let service = required(path, "service", wire.service.as_deref(), faults);
     let max = MAX_TIMEOUT.as_millis() as u64;
     let default = DEFAULT_TIMEOUT.as_millis() as u64;
-    let timeout = number(
-        &format!("{path}/timeout_ms"),
-        wire.timeout_ms,
-        default,
-        1,
-        max,
-        faults,
-    );
+    let timeout = number(&format!("{path}/timeout_ms"), wire.timeout_ms, default, 1, max, faults);
     Some(RouteSpec {
         host: SmolStr::new(host),
         prefix: SmolStr::new(prefix),
@@ -351,11 +316,7 @@
     let path = format!("{path}/rank");
     let rank = number(&path, wire.rank, 0, 0, u32::from(u8::MAX), faults);
     if wire.rank.is_none() {
-        faults.push(
-            ResultCode::PatchMissingField,
-            path,
-            "the field \"rank\" is required",
-        );
+        faults.push(ResultCode::PatchMissingField, path, "the field \"rank\" is required");
     }
     u8::try_from(rank).ok().map(Rank::new)
 }
--- a/crates/config/src/subscription.rs
+++ b/crates/config/src/subscription.rs
@@ -44,9 +44,9 @@
             (Self::Services(services), Resource::Service(_)) => {
                 services.iter().any(|service| service.as_str() == key.name)
             }
-            (Self::Services(services), _) => resource
-                .service()
-                .is_some_and(|service| services.contains(service)),
+            (Self::Services(services), _) => {
+                resource.service().is_some_and(|service| services.contains(service))
+            }
         }
     }
 
--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -22,11 +22,7 @@
 impl Fault {
     /// Describes a fault at `path`.
     pub fn new(code: ResultCode, path: impl Into<String>, detail: impl Into<String>) -> Self {
-        Self {
-            code: code.number(),
-            path: path.into(),
-            detail: detail.into(),
-        }
+        Self { code: code.number(), path: path.into(), detail: detail.into() }
     }
 }
 
@@ -83,9 +79,7 @@
 ) {
     for (name, value) in object {
         let single = Value::Object(Map::from_iter([(name.clone(), value.clone())]));
-        let Err(error) = serde_json::from_value::<T>(single) else {
-            continue;
-        };
+        let Err(error) = serde_json::from_value::<T>(single) else { continue };
         let detail = error.to_string();
         let code = match detail.starts_with("unknown field") {
             true => unknown,
--- a/crates/core/src/logger.rs
+++ b/crates/core/src/logger.rs
@@ -23,9 +23,7 @@
         match text {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
-            _ => Err(format!(
-                "{text:?} is not a log format; write \"text\" or \"json\""
-            )),
+            _ => Err(format!("{text:?} is not a log format; write \"text\" or \"json\"")),
         }
     }
 }
@@ -39,24 +37,15 @@
         builder.format(|out, record| writeln!(out, "{}", json_line(record)));
     }
     let installed = builder.try_init();
-    debug_assert!(
-        installed.is_ok() || log::max_level() >= LevelFilter::Off,
-        "a logger is present"
-    );
+    debug_assert!(installed.is_ok() || log::max_level() >= LevelFilter::Off, "a logger is present");
 }
 
 /// Formats one record as a JSON object.
 fn json_line(record: &log::Record<'_>) -> serde_json::Value {
     let mut fields = Fields(Map::new());
-    fields
-        .0
-        .insert("time".into(), json!(jiff::Timestamp::now().to_string()));
-    fields
-        .0
-        .insert("level".into(), json!(record.level().as_str()));
-    fields
-        .0
-        .insert("message".into(), json!(record.args().to_string()));
+    fields.0.insert("time".into(), json!(jiff::Timestamp::now().to_string()));
+    fields.0.insert("level".into(), json!(record.level().as_str()));
+    fields.0.insert("message".into(), json!(record.args().to_string()));
     let visited = record.key_values().visit(&mut fields);
     debug_assert!(visited.is_ok(), "visiting key-values can't fail");
     serde_json::Value::Object(fields.0)
--- a/crates/daemon/examples/stand_in_caller.rs
+++ b/crates/daemon/examples/stand_in_caller.rs
@@ -81,15 +81,8 @@
     let kinds = Rc::new(kinds?);
     let seen = Rc::new(RefCell::new(Seen::default()));
     let began = Instant::now();
-    let workers = (0..flags.concurrency).map(|worker| {
-        work(
-            worker,
-            flags.clone(),
-            Rc::clone(&kinds),
-            Rc::clone(&seen),
-            began,
-        )
-    });
+    let workers = (0..flags.concurrency)
+        .map(|worker| work(worker, flags.clone(), Rc::clone(&kinds), Rc::clone(&seen), began));
     join_all(workers).await;
     report(&flags, &seen.borrow(), began.elapsed());
     Ok(())
@@ -162,10 +155,7 @@
 /// Sends one call and names its outcome.
 async fn call(client: &Client, address: &str, flags: &Flags, kind: &Kind, id: &str) -> String {
     let mut request = client
-        .request(
-            kind.method.clone(),
-            format!("http://{address}{}", kind.path),
-        )
+        .request(kind.method.clone(), format!("http://{address}{}", kind.path))
         .insert_header(("host", flags.host.as_str()))
         .insert_header(("priority", kind.urgency.as_str()))
         .insert_header((CALL_HEADER, id));
--- a/crates/daemon/examples/stand_in_target.rs
+++ b/crates/daemon/examples/stand_in_target.rs
@@ -133,29 +133,20 @@
     let Some(admin) = &flags.admin else { return };
     let (service, version) = (&flags.service, &flags.version);
     let url = format!("http://{admin}/v1/targets/{service}?version={version}");
-    let client = awc::Client::builder()
-        .timeout(Duration::from_secs(10))
-        .finish();
+    let client = awc::Client::builder().timeout(Duration::from_secs(10)).finish();
     if let Err(error) = client.delete(url).send().await {
         eprintln!("the node did not confirm the drain: {error}");
     }
 }
 
 async fn runs(target: web::Data<Target>) -> HttpResponse {
-    let counts = target
-        .runs
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .clone();
+    let counts = target.runs.lock().unwrap_or_else(PoisonError::into_inner).clone();
     HttpResponse::Ok()
         .json(json!({ "runs": counts, "total": target.total.load(Ordering::Relaxed) }))
 }
 
 async fn health(target: web::Data<Target>) -> HttpResponse {
-    let since = *target
-        .failing_since
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let since = *target.failing_since.lock().unwrap_or_else(PoisonError::into_inner);
     let lag = Duration::from_millis(target.flags.health_lag_ms);
     match since {
         Some(at) if at.elapsed() >= lag => HttpResponse::ServiceUnavailable().finish(),
@@ -178,10 +169,7 @@
     serve_time(&target).await;
     let concerned = number >= flags.fail_after && request.path().starts_with(&flags.fail_path);
     if concerned && rand::rng().random_bool(flags.fail_rate.clamp(0.0, 1.0)) {
-        let mut since = target
-            .failing_since
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut since = target.failing_since.lock().unwrap_or_else(PoisonError::into_inner);
         since.get_or_insert_with(Instant::now);
         return HttpResponse::InternalServerError().body("failed as told");
     }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -17,16 +17,10 @@
 
 /// Returns the time in milliseconds since the Unix epoch.
 pub(crate) fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 /// Returns the time in microseconds since the Unix epoch.
 pub(crate) fn wall_us() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_micros() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -53,10 +53,7 @@
         hello: &Hello,
         feed: &Feed,
     ) -> (SessionId, Arc<Notify>) {
-        let services = hello
-            .services
-            .iter()
-            .filter_map(|service| service.parse().ok());
+        let services = hello.services.iter().filter_map(|service| service.parse().ok());
         let subscription = Subscription::new(services);
         let held = Version::new(hello.version);
         let digest = Digest::from_bytes(&hello.digest);
@@ -100,9 +97,7 @@
 
     /// Returns all connected processes.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (SessionId, &Downstream)> {
-        self.sessions
-            .iter()
-            .map(|(id, downstream)| (*id, downstream))
+        self.sessions.iter().map(|(id, downstream)| (*id, downstream))
     }
 
     /// Returns the number of connected processes.
@@ -148,20 +143,13 @@
         let downstream = self.sessions.get_mut(&session)?;
         let mut bodies = Vec::new();
         if downstream.sent.is_none_or(|sent| sent < feed.head()) {
-            let frame = self
-                .cache
-                .frame(downstream.sent, &downstream.subscription, feed);
+            let frame = self.cache.frame(downstream.sent, &downstream.subscription, feed);
             bodies.push(downward::Body::Update(frame));
             downstream.sent = Some(feed.head());
         }
         bodies.extend(downstream.next_targets(table).map(downward::Body::Targets));
         bodies.extend(downstream.replies.drain(..).map(downward::Body::Freshness));
-        Some(
-            bodies
-                .into_iter()
-                .map(|body| Downward { body: Some(body) })
-                .collect(),
-        )
+        Some(bodies.into_iter().map(|body| Downward { body: Some(body) }).collect())
     }
 }
 
@@ -177,19 +165,12 @@
             Ok(service) => self.subscription.has_service(&service),
             Err(_) => false,
         };
-        let targets: Vec<_> = table
-            .since(since)
-            .filter(|target| subscribed(&target.service))
-            .cloned()
-            .collect();
+        let targets: Vec<_> =
+            table.since(since).filter(|target| subscribed(&target.service)).cloned().collect();
         self.position = Some(table.position());
         match targets.is_empty() && !full {
             true => None,
-            false => Some(TargetUpdate {
-                targets,
-                full,
-                position: table.position(),
-            }),
+            false => Some(TargetUpdate { targets, full, position: table.position() }),
         }
     }
 }
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -86,9 +86,7 @@
             Protocol::Peer => self.peer.clone(),
             Protocol::Distribution => self.distribution.clone(),
         };
-        let connecting = self
-            .quic
-            .connect_with(config, address, &role.server_name())?;
+        let connecting = self.quic.connect_with(config, address, &role.server_name())?;
         Ok(connecting.await?)
     }
 }
@@ -97,18 +95,10 @@
 pub(crate) async fn complete(incoming: quinn::Incoming) -> Result<Accepted, LinkError> {
     let connection = incoming.await?;
     let grant = peer_grant(&connection).ok_or(LinkError::NoGrant)?;
-    let data = connection
-        .handshake_data()
-        .and_then(|data| data.downcast::<HandshakeData>().ok());
+    let data = connection.handshake_data().and_then(|data| data.downcast::<HandshakeData>().ok());
     let alpn = data.and_then(|data| data.protocol).unwrap_or_default();
-    let protocol = Protocol::ALL
-        .into_iter()
-        .find(|protocol| protocol.alpn() == alpn);
-    Ok(Accepted {
-        connection,
-        grant,
-        protocol: protocol.ok_or(LinkError::NoGrant)?,
-    })
+    let protocol = Protocol::ALL.into_iter().find(|protocol| protocol.alpn() == alpn);
+    Ok(Accepted { connection, grant, protocol: protocol.ok_or(LinkError::NoGrant)? })
 }
 
 fn peer_grant(connection: &Connection) -> Option<Grant> {
@@ -126,10 +116,7 @@
 
 impl<M: Message> Writer<M> {
     pub(crate) fn new(stream: SendStream) -> Self {
-        Self {
-            frames: FramedWrite::new(stream, codec()),
-            kind: PhantomData,
-        }
+        Self { frames: FramedWrite::new(stream, codec()), kind: PhantomData }
     }
 
     /// Sends one message.
@@ -148,10 +135,7 @@
 
 impl<M: Message + Default> Reader<M> {
     pub(crate) fn new(stream: RecvStream) -> Self {
-        Self {
-            frames: FramedRead::new(stream, codec()),
-            kind: PhantomData,
-        }
+        Self { frames: FramedRead::new(stream, codec()), kind: PhantomData }
     }
 
     /// Receives one message.
@@ -162,7 +146,5 @@
 }
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE.as_usize())
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE.as_usize()).new_codec()
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,28 +6,19 @@
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Bounds of the latency histogram, in seconds.
-const LATENCY_BOUNDS: [f64; 12] = [
-    0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0,
-];
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0];
 
 static REGISTRY: LazyLock<Registry> = LazyLock::new(Registry::new);
 
 /// Calls that this node took from callers, by result code; 0 stands for a target's own answer.
 pub(crate) static CALLS: LazyLock<IntCounterVec> = LazyLock::new(|| {
-    counter(
-        "kingcuplift_calls_total",
-        "Calls from callers by result code.",
-        "code",
-    )
+    counter("kingcuplift_calls_total", "Calls from callers by result code.", "code")
 });
 
 /// Calls that this node handed to its own targets, by result code.
 pub(crate) static HANDED: LazyLock<IntCounterVec> = LazyLock::new(|| {
-    counter(
-        "kingcuplift_target_calls_total",
-        "Calls to targets beside the node.",
-        "code",
-    )
+    counter("kingcuplift_target_calls_total", "Calls to targets beside the node.", "code")
 });
 
 /// Time of calls from callers, in seconds.
@@ -62,9 +53,7 @@
 /// Serves the metrics.
 pub(crate) async fn serve() -> HttpResponse {
     match TextEncoder::new().encode_to_string(&REGISTRY.gather()) {
-        Ok(text) => HttpResponse::Ok()
-            .content_type(prometheus::TEXT_FORMAT)
-            .body(text),
+        Ok(text) => HttpResponse::Ok().content_type(prometheus::TEXT_FORMAT).body(text),
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
     }
 }
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -112,14 +112,9 @@
         return Problem::new(ResultCode::AnnouncementMalformed, detail).into_response();
     };
     let version = query.version.as_ref().map(SmolStr::new);
-    let gates = node
-        .send(Withdraw { service, version })
-        .await
-        .unwrap_or_default();
+    let gates = node.send(Withdraw { service, version }).await.unwrap_or_default();
     let count = gates.len();
-    let drained = tokio::time::timeout(DRAIN_LIMIT, wait_idle(gates))
-        .await
-        .is_ok();
+    let drained = tokio::time::timeout(DRAIN_LIMIT, wait_idle(gates)).await.is_ok();
     HttpResponse::Ok().json(json!({ "targets": count, "drained": drained }))
 }
 
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -86,26 +86,15 @@
         body,
         deadline: began + time,
     };
-    let service = view
-        .services
-        .get(route.service.as_str())
-        .ok_or(ResultCode::NoTarget)?;
+    let service = view.services.get(route.service.as_str()).ok_or(ResultCode::NoTarget)?;
     try_targets(shared, client, service, route, call).await
 }
 
 fn find_route<'a>(request: &HttpRequest, view: &'a View) -> Result<&'a RouteMatch, ResultCode> {
-    let host = request
-        .headers()
-        .get("host")
-        .and_then(|value| value.to_str().ok());
+    let host = request.headers().get("host").and_then(|value| value.to_str().ok());
     let host = host.ok_or(ResultCode::CallMalformed)?;
-    let name = host
-        .rsplit_once(':')
-        .map_or(host, |(name, _)| name)
-        .to_ascii_lowercase();
-    view.router
-        .find(&name, request.path())
-        .ok_or(ResultCode::RouteNotFound)
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+    view.router.find(&name, request.path()).ok_or(ResultCode::RouteNotFound)
 }
 
 /// Returns the time that the call may take: the route's, or what the caller has left.
@@ -113,10 +102,7 @@
     let Some(value) = request.headers().get(TIMEOUT_HEADER) else {
         return Ok(route.timeout);
     };
-    let millis = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
     let millis = millis.ok_or(ResultCode::CallMalformed)?;
     Ok(route.timeout.min(Duration::from_millis(millis)))
 }
@@ -137,11 +123,7 @@
     route: &RouteMatch,
     call: Call,
 ) -> Result<Answer, ResultCode> {
-    let idempotent = service
-        .spec
-        .idempotent
-        .iter()
-        .any(|m| m == call.method.as_str());
+    let idempotent = service.spec.idempotent.iter().any(|m| m == call.method.as_str());
     let mut tried: Vec<TargetKey> = Vec::new();
     let mut last = ResultCode::NoTarget;
     shared.budget.earn();
@@ -150,13 +132,7 @@
             break;
         }
         let now = monotonic_ms();
-        let chosen = choose(
-            &service.candidates,
-            &shared.zone,
-            &tried,
-            now,
-            &mut rand::rng(),
-        );
+        let chosen = choose(&service.candidates, &shared.zone, &tried, now, &mut rand::rng());
         let Some(candidate) = chosen else { break };
         tried.push(candidate.key.clone());
         let outcome = attempt(shared, client, candidate, route, &call).await;
@@ -170,10 +146,7 @@
             RunState::Unknown => last,
             _ => code,
         };
-        let failed = Attempt {
-            run: code.run(),
-            idempotent,
-        };
+        let failed = Attempt { run: code.run(), idempotent };
         if !may_retry(failed) || call.time_left().is_zero() {
             break;
         }
@@ -226,12 +199,7 @@
     let Some(value) = answer.headers.get(CODE_HEADER) else {
         return Ok(answer);
     };
-    let number = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse::<u16>().ok());
-    let code = ResultCode::ALL
-        .iter()
-        .find(|code| Some(code.number()) == number);
+    let number = value.to_str().ok().and_then(|text| text.parse::<u16>().ok());
+    let code = ResultCode::ALL.iter().find(|code| Some(code.number()) == number);
     Err(code.copied().unwrap_or(ResultCode::AnswerLost))
 }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -119,11 +119,7 @@
             peer,
             subscription: Subscription::new(services.iter().cloned()),
             services,
-            upstream: Some(Upstream {
-                endpoint,
-                role: Role::Relay,
-                addresses: relays,
-            }),
+            upstream: Some(Upstream { endpoint, role: Role::Relay, addresses: relays }),
             above: None,
             feed: Feed::default(),
             table: TargetTable::default(),
@@ -176,13 +172,9 @@
     }
 
     fn update(&mut self, frame: &UpdateFrame) {
-        let applied = decode_update(frame)
-            .map_err(|error| error.to_string())
-            .and_then(|update| {
-                self.feed
-                    .apply(&update, &self.subscription)
-                    .map_err(|error| error.to_string())
-            });
+        let applied = decode_update(frame).map_err(|error| error.to_string()).and_then(|update| {
+            self.feed.apply(&update, &self.subscription).map_err(|error| error.to_string())
+        });
         match applied {
             Ok(Applied::InForce) => {
                 self.router = None;
@@ -231,11 +223,7 @@
         let version = self.feed.head();
         let services = self.service_views();
         let before = self.shared.version();
-        self.shared.view.store(Some(Arc::new(View {
-            version,
-            router,
-            services,
-        })));
+        self.shared.view.store(Some(Arc::new(View { version, router, services })));
         self.update_gates();
         metrics::VERSION.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
         if version != before {
@@ -256,18 +244,13 @@
             let Some(Resource::Service(spec)) = document.get(key).map(|s| &s.resource) else {
                 continue;
             };
-            let view = ServiceView {
-                spec: spec.clone(),
-                candidates: Vec::new(),
-            };
+            let view = ServiceView { spec: spec.clone(), candidates: Vec::new() };
             views.insert(key.name.to_string(), view);
         }
         let closed = closed_zones(document);
         let mut used: BTreeSet<TargetKey> = BTreeSet::new();
         for (key, target) in self.table.present() {
-            let Some(view) = views.get_mut(key.service.as_str()) else {
-                continue;
-            };
+            let Some(view) = views.get_mut(key.service.as_str()) else { continue };
             let serves = target.state() == TargetState::Ready
                 && !closed.contains(target.zone.as_str())
                 && carries_traffic(document, &key.service, &key.version);
@@ -293,10 +276,7 @@
     fn limits(&self, key: &TargetKey, lease: &Lease) -> Limits {
         let service = service_spec(self.feed.document(), &key.service);
         let queue = service.map_or(DEFAULT_QUEUE, |spec| spec.queue);
-        Limits {
-            slots: lease.slots,
-            queue,
-        }
+        Limits { slots: lease.slots, queue }
     }
 
     fn key(&self, service: &ServiceName, version: &SmolStr) -> TargetKey {
@@ -360,11 +340,7 @@
 
     /// Tells the relay, and this node itself, of a target.
     fn publish_target(&mut self, key: &TargetKey, state: TargetState) {
-        let slots = self
-            .leases
-            .iter()
-            .find(|(held, _)| *held == key)
-            .map(|(_, l)| l.slots);
+        let slots = self.leases.iter().find(|(held, _)| *held == key).map(|(_, l)| l.slots);
         let mut target = Target {
             node: key.node.to_string(),
             service: key.service.to_string(),
@@ -379,11 +355,7 @@
         if self.table.merge(target.clone(), monotonic_ms()) == Merge::Changed {
             self.refresh();
         }
-        let update = TargetUpdate {
-            targets: vec![target],
-            full: false,
-            position: 0,
-        };
+        let update = TargetUpdate { targets: vec![target], full: false, position: 0 };
         self.send_above(upward::Body::Targets(update));
     }
 
@@ -431,11 +403,7 @@
         let resource = document.get(key).map(|stored| &stored.resource);
         matches!(resource, Some(Resource::Zone(ZoneState::Out)))
     };
-    document
-        .keys_of(Kind::Zones)
-        .filter(is_out)
-        .map(|key| key.name.as_str())
-        .collect()
+    document.keys_of(Kind::Zones).filter(is_out).map(|key| key.name.as_str()).collect()
 }
 
 /// Returns whether targets of `version` take calls of the service.
@@ -443,9 +411,7 @@
 /// While a move of the service has no share yet, only the version it starts from does.
 fn carries_traffic(document: &Document, service: &str, version: &str) -> bool {
     let key = ResourceKey::new(Kind::Services, service);
-    let moves = document
-        .referrers(&key)
-        .filter_map(|referrer| document.get(referrer));
+    let moves = document.referrers(&key).filter_map(|referrer| document.get(referrer));
     let from = moves.into_iter().find_map(|stored| match &stored.resource {
         Resource::Move(spec) => Some(spec.from.as_str()),
         _ => None,
@@ -492,17 +458,10 @@
     fn handle(&mut self, message: Withdraw, _: &mut Self::Context) -> Self::Result {
         let wanted = |key: &TargetKey| {
             key.service == message.service.as_str()
-                && message
-                    .version
-                    .as_ref()
-                    .is_none_or(|version| *version == key.version)
+                && message.version.as_ref().is_none_or(|version| *version == key.version)
         };
-        let keys: Vec<TargetKey> = self
-            .leases
-            .iter()
-            .map(|(key, _)| key.clone())
-            .filter(wanted)
-            .collect();
+        let keys: Vec<TargetKey> =
+            self.leases.iter().map(|(key, _)| key.clone()).filter(wanted).collect();
         for key in &keys {
             Event::TargetDrained.emit(&[("target", key)]);
         }
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -61,10 +61,8 @@
 
 /// Makes the client of one thread.
 pub(crate) fn client() -> Client {
-    let connector = awc::Connector::new()
-        .timeout(CONNECT_LIMIT)
-        .conn_keep_alive(IDLE_LIMIT)
-        .limit(0);
+    let connector =
+        awc::Connector::new().timeout(CONNECT_LIMIT).conn_keep_alive(IDLE_LIMIT).limit(0);
     Client::builder()
         .connector(connector)
         .disable_timeout()
@@ -106,21 +104,10 @@
     }
     let millis = HeaderValue::from(time.as_millis() as u64);
     headers.insert(HeaderName::from_static(TIMEOUT_HEADER), millis);
-    let mut response = request
-        .send_body(call.body.clone())
-        .await
-        .map_err(|e| send_code(&e))?;
-    let body = response
-        .body()
-        .limit(MAX_ANSWER.as_usize())
-        .await
-        .map_err(|e| body_code(&e))?;
+    let mut response = request.send_body(call.body.clone()).await.map_err(|e| send_code(&e))?;
+    let body = response.body().limit(MAX_ANSWER.as_usize()).await.map_err(|e| body_code(&e))?;
     let headers = end_to_end(response.headers());
-    Ok(Answer {
-        status: response.status(),
-        headers,
-        body,
-    })
+    Ok(Answer { status: response.status(), headers, body })
 }
 
 /// Returns the headers that are handed on.
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -44,14 +44,8 @@
 
 impl Gate {
     pub(crate) fn new(limits: Limits) -> Self {
-        let state = State {
-            admission: Admission::new(limits),
-            waiters: HashMap::new(),
-            next: 0,
-        };
-        Self {
-            state: Mutex::new(state),
-        }
+        let state = State { admission: Admission::new(limits), waiters: HashMap::new(), next: 0 };
+        Self { state: Mutex::new(state) }
     }
 
     pub(crate) fn set_limits(&self, limits: Limits) {
@@ -101,10 +95,7 @@
         let mut state = self.lock();
         state.next += 1;
         let id = state.next;
-        match state
-            .admission
-            .arrive(id, rank, now + time.as_micros() as u64, now)
-        {
+        match state.admission.arrive(id, rank, now + time.as_micros() as u64, now) {
             Decision::Run => Ok(None),
             Decision::Refuse(code) => Err(code),
             Decision::Wait { displaced } => {
@@ -113,28 +104,18 @@
                 }
                 let (sender, verdict) = oneshot::channel();
                 state.waiters.insert(id, sender);
-                Ok(Some(Place {
-                    gate: Arc::clone(self),
-                    id,
-                    verdict,
-                    is_settled: false,
-                }))
+                Ok(Some(Place { gate: Arc::clone(self), id, verdict, is_settled: false }))
             }
         }
     }
 
     fn permit(self: &Arc<Self>) -> Permit {
-        Permit {
-            gate: Arc::clone(self),
-            began: Instant::now(),
-        }
+        Permit { gate: Arc::clone(self), began: Instant::now() }
     }
 
     fn finish(&self, service: Duration) {
         let mut state = self.lock();
-        let released = state
-            .admission
-            .finish(service.as_micros() as u64, monotonic_us());
+        let released = state.admission.finish(service.as_micros() as u64, monotonic_us());
         state.dispatch(released);
     }
 
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -104,12 +104,7 @@
     rank: Rank,
     call: &Call,
 ) -> Result<Answer, ResultCode> {
-    let local = shared
-        .locals
-        .load()
-        .get(key)
-        .cloned()
-        .ok_or(ResultCode::NoTarget)?;
+    let local = shared.locals.load().get(key).cloned().ok_or(ResultCode::NoTarget)?;
     let permit = local.gate.enter(rank, call.time_left()).await?;
     let mut answer = forward::send(client, &local.address, call).await?;
     drop(permit);
@@ -132,10 +127,7 @@
 
 /// Returns the path and query of a request.
 pub(crate) fn path_of(request: &HttpRequest) -> String {
-    request
-        .uri()
-        .path_and_query()
-        .map_or_else(|| "/".to_owned(), ToString::to_string)
+    request.uri().path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
 }
 
 /// Adds the headers of a call between nodes.
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -66,10 +66,7 @@
 
     /// Returns the version in force, or 0 when there is none.
     pub fn version(&self) -> Version {
-        self.view
-            .load()
-            .as_ref()
-            .map_or(Version::default(), |view| view.version)
+        self.view.load().as_ref().map_or(Version::default(), |view| view.version)
     }
 
     /// Refuses new calls from now on.
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -128,10 +128,8 @@
 impl Options {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<Self, StartError> {
-        let text = std::fs::read_to_string(path).map_err(|source| StartError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| StartError::Unreadable { path: path.to_owned(), source })?;
         Self::parse(&text).map_err(StartError::Faulty)
     }
 
@@ -199,10 +197,7 @@
     }
 
     fn check_section<T: DeserializeOwned>(&mut self, path: &str, part: &Map<String, Value>) {
-        let (unknown, wrong) = (
-            ResultCode::SettingsUnknownField,
-            ResultCode::SettingsWrongType,
-        );
+        let (unknown, wrong) = (ResultCode::SettingsUnknownField, ResultCode::SettingsWrongType);
         check_fields::<T>(path, part, unknown, wrong, &mut self.faults);
     }
 
@@ -282,11 +277,7 @@
         let authority = self.required("/keys/ca", wire.ca.as_deref());
         let certificate = self.required("/keys/cert", wire.cert.as_deref());
         let key = self.required("/keys/key", wire.key.as_deref());
-        Some(KeyOptions::Files {
-            authority: authority?,
-            certificate: certificate?,
-            key: key?,
-        })
+        Some(KeyOptions::Files { authority: authority?, certificate: certificate?, key: key? })
     }
 
     fn source(&mut self, wire: wire::SourceSettings) -> Option<SourceOptions> {
@@ -331,30 +322,18 @@
         let id = self.member_id(&format!("{path}/id"), wire.id);
         let listen = self.required(&format!("{path}/listen"), wire.listen.as_deref());
         let http = self.required(&format!("{path}/http"), wire.http.as_deref());
-        Some(MemberOptions {
-            id: id?,
-            listen: listen?,
-            http: http?,
-        })
+        Some(MemberOptions { id: id?, listen: listen?, http: http? })
     }
 
     fn member_id(&mut self, path: &str, id: Option<u64>) -> Option<MemberId> {
         match id {
             Some(id) if id > 0 => Some(MemberId::new(id)),
             Some(_) => {
-                self.bad(
-                    ResultCode::SettingsBadValue,
-                    path,
-                    "number the members from 1",
-                );
+                self.bad(ResultCode::SettingsBadValue, path, "number the members from 1");
                 None
             }
             None => {
-                self.bad(
-                    ResultCode::SettingsMissingField,
-                    path,
-                    "the field is required",
-                );
+                self.bad(ResultCode::SettingsMissingField, path, "the field is required");
                 None
             }
         }
@@ -364,11 +343,7 @@
         let listen = self.required("/relay/listen", wire.listen.as_deref());
         let http = self.required("/relay/http", wire.http.as_deref());
         let sources = self.list("/relay/sources", &wire.sources);
-        Some(RelayOptions {
-            listen: listen?,
-            http: http?,
-            sources,
-        })
+        Some(RelayOptions { listen: listen?, http: http?, sources })
     }
 
     fn node(&mut self, wire: wire::NodeSettings) -> Option<NodeOptions> {
@@ -399,11 +374,7 @@
     /// Parses a list of addresses that must not be empty.
     fn list(&mut self, path: &str, texts: &[String]) -> Vec<SocketAddr> {
         if texts.is_empty() {
-            self.bad(
-                ResultCode::SettingsMissingField,
-                path,
-                "name at least one address",
-            );
+            self.bad(ResultCode::SettingsMissingField, path, "name at least one address");
         }
         let mut parsed = Vec::new();
         for (i, text) in texts.iter().enumerate() {
@@ -418,21 +389,13 @@
         T::Err: Display,
     {
         let Some(text) = text else {
-            self.bad(
-                ResultCode::SettingsMissingField,
-                path,
-                "the field is required",
-            );
+            self.bad(ResultCode::SettingsMissingField, path, "the field is required");
             return None;
         };
         match text.parse() {
             Ok(value) => Some(value),
             Err(error) => {
-                self.bad(
-                    ResultCode::SettingsBadValue,
-                    path,
-                    format!("{text:?}: {error}"),
-                );
+                self.bad(ResultCode::SettingsBadValue, path, format!("{text:?}: {error}"));
                 None
             }
         }
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -85,11 +85,7 @@
         Self {
             name,
             zone,
-            upstream: Some(Upstream {
-                endpoint,
-                role: Role::Source,
-                addresses: sources,
-            }),
+            upstream: Some(Upstream { endpoint, role: Role::Source, addresses: sources }),
             above: None,
             feed: Feed::default(),
             fanout: Fanout::default(),
@@ -105,9 +101,7 @@
 
     fn send_above(&mut self, body: upward::Body) -> bool {
         let message = Upward { body: Some(body) };
-        self.above
-            .as_ref()
-            .is_some_and(|above| above.try_send(message).is_ok())
+        self.above.as_ref().is_some_and(|above| above.try_send(message).is_ok())
     }
 
     fn opened(&mut self, above: mpsc::Sender<Upward>) {
@@ -121,17 +115,9 @@
             services: Vec::new(),
         };
         self.send_above(upward::Body::Hello(hello));
-        let owned: Vec<Target> = self
-            .owned
-            .keys()
-            .filter_map(|key| self.targets.get(key))
-            .cloned()
-            .collect();
-        let update = TargetUpdate {
-            targets: owned,
-            full: true,
-            position: 0,
-        };
+        let owned: Vec<Target> =
+            self.owned.keys().filter_map(|key| self.targets.get(key)).cloned().collect();
+        let update = TargetUpdate { targets: owned, full: true, position: 0 };
         self.send_above(upward::Body::Targets(update));
         self.waiting.append(&mut self.asked);
         self.ask_freshness();
@@ -147,13 +133,9 @@
     }
 
     fn update(&mut self, frame: &UpdateFrame) {
-        let applied = decode_update(frame)
-            .map_err(|error| error.to_string())
-            .and_then(|update| {
-                self.feed
-                    .apply(&update, &Subscription::All)
-                    .map_err(|error| report_refusal(&error))
-            });
+        let applied = decode_update(frame).map_err(|error| error.to_string()).and_then(|update| {
+            self.feed.apply(&update, &Subscription::All).map_err(|error| report_refusal(&error))
+        });
         match applied {
             Ok(Applied::InForce) => {
                 metrics::VERSION.set(i64::try_from(self.feed.head().get()).unwrap_or(i64::MAX));
@@ -186,13 +168,7 @@
             let key = TargetKey::of(&target);
             match target.state() {
                 TargetState::Gone => drop(self.owned.remove(&key)),
-                _ => drop(self.owned.insert(
-                    key,
-                    Owned {
-                        session,
-                        left_at: None,
-                    },
-                )),
+                _ => drop(self.owned.insert(key, Owned { session, left_at: None })),
             }
             if self.targets.merge(target.clone(), now) == Merge::Changed {
                 changed.push(target);
@@ -200,11 +176,7 @@
         }
         if !changed.is_empty() {
             self.fanout.wake_all();
-            let update = TargetUpdate {
-                targets: changed,
-                full: false,
-                position: 0,
-            };
+            let update = TargetUpdate { targets: changed, full: false, position: 0 };
             self.send_above(upward::Body::Targets(update));
         }
     }
@@ -213,29 +185,19 @@
     fn expire_nodes(&mut self) {
         let now = monotonic_ms();
         let away = |owned: &Owned| owned.left_at.is_some_and(|at| now >= at + NODE_GRACE);
-        let expired: Vec<TargetKey> = self
-            .owned
-            .iter()
-            .filter(|(_, o)| away(o))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let expired: Vec<TargetKey> =
+            self.owned.iter().filter(|(_, o)| away(o)).map(|(key, _)| key.clone()).collect();
         let mut gone = Vec::new();
         for key in expired {
             self.owned.remove(&key);
-            let Some(mut target) = self.targets.get(&key).cloned() else {
-                continue;
-            };
+            let Some(mut target) = self.targets.get(&key).cloned() else { continue };
             Event::TargetExpired.emit(&[("target", &key)]);
             target.set_state(TargetState::Gone);
             gone.push(target);
         }
         if !gone.is_empty() {
             self.merge_targets(gone.clone());
-            let update = TargetUpdate {
-                targets: gone,
-                full: false,
-                position: 0,
-            };
+            let update = TargetUpdate { targets: gone, full: false, position: 0 };
             self.send_above(upward::Body::Targets(update));
         }
         self.targets.forget_gone(now);
@@ -246,9 +208,7 @@
             return;
         }
         self.request += 1;
-        let request = FreshnessRequest {
-            request: self.request,
-        };
+        let request = FreshnessRequest { request: self.request };
         if self.send_above(upward::Body::Freshness(request)) {
             self.asked = std::mem::take(&mut self.waiting);
         }
@@ -259,13 +219,7 @@
             return;
         }
         for (session, request) in std::mem::take(&mut self.asked) {
-            self.fanout.reply(
-                session,
-                FreshnessReply {
-                    request,
-                    head: reply.head,
-                },
-            );
+            self.fanout.reply(session, FreshnessReply { request, head: reply.head });
         }
         self.ask_freshness();
     }
@@ -332,22 +286,14 @@
 
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
         if self.feed.head() == Version::default() && self.above.is_none() {
-            return Err(Redirect {
-                address: String::new(),
-                retry_ms: ADMISSION_RETRY,
-            });
+            return Err(Redirect { address: String::new(), retry_ms: ADMISSION_RETRY });
         }
         if self.admitted >= ADMISSIONS {
-            return Err(Redirect {
-                address: String::new(),
-                retry_ms: ADMISSION_RETRY,
-            });
+            return Err(Redirect { address: String::new(), retry_ms: ADMISSION_RETRY });
         }
         self.admitted += 1;
         let grant = join.grant;
-        let (session, wake) = self
-            .fanout
-            .join(grant.name, grant.zone, &join.hello, &self.feed);
+        let (session, wake) = self.fanout.join(grant.name, grant.zone, &join.hello, &self.feed);
         Ok(Joined { session, wake })
     }
 }
@@ -386,15 +332,9 @@
     type Result = ();
 
     fn handle(&mut self, leave: Leave, _: &mut Self::Context) {
-        let Some(node) = self.fanout.leave(leave.0) else {
-            return;
-        };
+        let Some(node) = self.fanout.leave(leave.0) else { return };
         let now = monotonic_ms();
-        for owned in self
-            .owned
-            .values_mut()
-            .filter(|owned| owned.session == leave.0)
-        {
+        for owned in self.owned.values_mut().filter(|owned| owned.session == leave.0) {
             owned.left_at = Some(now);
         }
         log::debug!("node {} left", node.name);
--- a/crates/daemon/src/relay/sums.rs
+++ b/crates/daemon/src/relay/sums.rs
@@ -10,17 +10,11 @@
 pub(crate) fn progress(fanout: &Fanout) -> Progress {
     let mut counts: BTreeMap<(String, u64), u64> = BTreeMap::new();
     for (_, node) in fanout.iter() {
-        *counts
-            .entry((node.zone.to_string(), node.applied.get()))
-            .or_default() += 1;
+        *counts.entry((node.zone.to_string(), node.applied.get())).or_default() += 1;
     }
     let counts = counts
         .into_iter()
-        .map(|((zone, version), nodes)| ProgressCount {
-            zone,
-            version,
-            nodes,
-        })
+        .map(|((zone, version), nodes)| ProgressCount { zone, version, nodes })
         .collect();
     Progress { counts }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -114,16 +114,8 @@
             node.relays.clone(),
         )
         .start();
-        self.serve(node::serve_peers(
-            node.peers,
-            node.threads,
-            Arc::clone(&shared),
-        )?);
-        self.serve(node::serve_callers(
-            node.callers,
-            node.threads,
-            Arc::clone(&shared),
-        )?);
+        self.serve(node::serve_peers(node.peers, node.threads, Arc::clone(&shared))?);
+        self.serve(node::serve_callers(node.callers, node.threads, Arc::clone(&shared))?);
         self.serve(node::serve_admin(node.admin, actor.clone())?);
         self.node = Some((actor, shared));
         Ok(())
@@ -154,10 +146,7 @@
 }
 
 async fn wait_for_signal() {
-    let (terminate, interrupt) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    );
+    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     match (terminate, interrupt) {
         (Ok(mut terminate), Ok(mut interrupt)) => {
             tokio::select! {
@@ -175,22 +164,14 @@
         KeyOptions::Temporary => {
             let (authority, _) = Authority::generate()?;
             let (name, zone) = (options.name.clone(), options.zone.clone());
-            let issued = authority.issue(&Grant {
-                name,
-                zone,
-                roles: options.roles.clone(),
-            })?;
+            let issued = authority.issue(&Grant { name, zone, roles: options.roles.clone() })?;
             Ok(Credentials {
                 authority: authority.certificate().to_owned(),
                 certificate: issued.certificate,
                 key: issued.key,
             })
         }
-        KeyOptions::Files {
-            authority,
-            certificate,
-            key,
-        } => Ok(Credentials {
+        KeyOptions::Files { authority, certificate, key } => Ok(Credentials {
             authority: read_key(authority)?,
             certificate: read_key(certificate)?,
             key: read_key(key)?,
@@ -199,8 +180,6 @@
 }
 
 fn read_key(path: &Path) -> Result<String, StartError> {
-    std::fs::read_to_string(path).map_err(|source| StartError::KeyFile {
-        path: path.to_owned(),
-        source,
-    })
+    std::fs::read_to_string(path)
+        .map_err(|source| StartError::KeyFile { path: path.to_owned(), source })
 }
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -84,12 +84,7 @@
     let Some(upward::Body::Hello(hello)) = reader.receive().await?.body else {
         return Err(LinkError::Ended);
     };
-    let joined = addr
-        .send(Join {
-            grant: accepted.grant,
-            hello,
-        })
-        .await;
+    let joined = addr.send(Join { grant: accepted.grant, hello }).await;
     let Joined { session, wake } = match joined {
         Ok(Ok(joined)) => joined,
         Ok(Err(redirect)) => {
@@ -118,9 +113,7 @@
     A::Context: ToEnvelope<A, FromBelow>,
 {
     loop {
-        let Some(body) = reader.receive().await?.body else {
-            continue;
-        };
+        let Some(body) = reader.receive().await?.body else { continue };
         if addr.send(FromBelow { session, body }).await.is_err() {
             return Err(LinkError::Ended);
         }
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -124,10 +124,7 @@
     ) -> Result<Self, StartError> {
         let folder = DiskFolder::open(&options.data).map_err(|source| match source.kind() {
             std::io::ErrorKind::WouldBlock => kingcuplift_quorum::StoreError::Locked,
-            _ => kingcuplift_quorum::StoreError::Io {
-                file: ".".to_owned(),
-                source,
-            },
+            _ => kingcuplift_quorum::StoreError::Io { file: ".".to_owned(), source },
         })?;
         let fresh = rand::rng().random_range(1..u64::MAX);
         let (store, recovery) = Store::open(folder, options.id, fresh)?;
@@ -168,9 +165,7 @@
     }
 
     fn step(&mut self, input: Input) {
-        let Stage::Member(replica) = &mut self.stage else {
-            return;
-        };
+        let Stage::Member(replica) = &mut self.stage else { return };
         for effect in replica.handle(input, monotonic_ms()) {
             self.perform(effect);
         }
@@ -178,22 +173,9 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Save {
-                ticket,
-                hard,
-                entries,
-                snapshot,
-            } => {
-                let job = Job {
-                    ticket,
-                    record: Record { hard, entries },
-                    snapshot,
-                };
-                if self
-                    .writer
-                    .as_ref()
-                    .is_none_or(|writer| writer.send(job).is_err())
-                {
+            Effect::Save { ticket, hard, entries, snapshot } => {
+                let job = Job { ticket, record: Record { hard, entries }, snapshot };
+                if self.writer.as_ref().is_none_or(|writer| writer.send(job).is_err()) {
                     self.stage = Stage::Failed;
                 }
             }
@@ -206,12 +188,8 @@
     }
 
     fn apply(&mut self, entry: Entry, token: Option<Token>) {
-        let Some(entry::Body::Command(command)) = entry.body else {
-            return;
-        };
-        let Ok(submission) = Submission::decode(command.as_ref()) else {
-            return;
-        };
+        let Some(entry::Body::Command(command)) = entry.body else { return };
+        let Ok(submission) = Submission::decode(command.as_ref()) else { return };
         let outcome = self.catalog.apply(&submission);
         let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
         if is_leader {
@@ -239,26 +217,19 @@
     }
 
     fn refuse(&mut self, token: Token, refusal: Refusal) {
-        let Some(answer) = self.answers.remove(&token) else {
-            return;
-        };
+        let Some(answer) = self.answers.remove(&token) else { return };
         let (code, detail) = match refusal {
-            Refusal::NotLeader => (
-                ResultCode::NoLeader,
-                "this member is not the leader; try another",
-            ),
-            Refusal::Busy => (
-                ResultCode::SourceBusy,
-                "too many submissions in flight; try again",
-            ),
+            Refusal::NotLeader => {
+                (ResultCode::NoLeader, "this member is not the leader; try another")
+            }
+            Refusal::Busy => (ResultCode::SourceBusy, "too many submissions in flight; try again"),
             Refusal::LeadershipLost => (
                 ResultCode::LeadershipLost,
                 "the leader changed; send the same operation id again to learn the outcome",
             ),
-            Refusal::MembershipRefused => (
-                ResultCode::MembershipRefused,
-                "another change is in flight; try again later",
-            ),
+            Refusal::MembershipRefused => {
+                (ResultCode::MembershipRefused, "another change is in flight; try again later")
+            }
         };
         drop(answer.send(Answer::problem(code, detail)));
     }
@@ -290,18 +261,11 @@
     }
 
     fn send(&mut self, to: MemberId, message: Box<Peer>) {
-        let Some(address) = self.member_address(to) else {
-            return;
-        };
+        let Some(address) = self.member_address(to) else { return };
         let endpoint = &self.endpoint;
-        let known = self
-            .dialed
-            .get(&to)
-            .is_some_and(|(held, _)| *held == address);
+        let known = self.dialed.get(&to).is_some_and(|(held, _)| *held == address);
         if !known {
-            let Ok(parsed) = address.parse::<SocketAddr>() else {
-                return;
-            };
+            let Ok(parsed) = address.parse::<SocketAddr>() else { return };
             let sender = dial_member(endpoint.clone(), parsed);
             self.dialed.insert(to, (address, sender));
         }
@@ -368,9 +332,7 @@
             return;
         }
         self.offered_at = now;
-        let Stage::Forming(formation) = &self.stage else {
-            return;
-        };
+        let Stage::Forming(formation) = &self.stage else { return };
         let offer = formation.offer();
         let group = rand::rng().random_range(1..u64::MAX);
         let formed = formation.try_form(group, now);
@@ -387,10 +349,7 @@
 
     /// Writes the membership down and becomes a member.
     fn join_group(&mut self, membership: Membership) {
-        let snapshot = Snapshot {
-            membership: Some(membership),
-            ..Snapshot::default()
-        };
+        let snapshot = Snapshot { membership: Some(membership), ..Snapshot::default() };
         let Some(store) = &mut self.store else { return };
         if let Err(error) = store.save_snapshot(&snapshot) {
             Event::StorageFailed.emit(&[("reason", &error)]);
@@ -398,24 +357,16 @@
             return;
         }
         Event::GroupFormed.emit(&[("member", &self.identity.id)]);
-        let restored = Restored {
-            snapshot,
-            ..Restored::default()
-        };
+        let restored = Restored { snapshot, ..Restored::default() };
         self.stage = Stage::Member(new_replica(self.identity, &self.options, restored));
     }
 
     /// Answers a member that has no group, if its disk belongs to this one.
     fn answer_offer(&mut self, message: &Peer) {
-        let Stage::Member(replica) = &self.stage else {
-            return;
-        };
+        let Stage::Member(replica) = &self.stage else { return };
         let id = MemberId::new(message.from);
         let membership = replica.membership();
-        if membership
-            .member(id)
-            .is_none_or(|voter| voter.disk != message.disk)
-        {
+        if membership.member(id).is_none_or(|voter| voter.disk != message.disk) {
             return;
         }
         let formed = Peer {
@@ -429,26 +380,19 @@
     }
 
     fn answer_freshness(&mut self, now: Millis) {
-        let Stage::Member(replica) = &self.stage else {
-            return;
-        };
+        let Stage::Member(replica) = &self.stage else { return };
         if self.freshness.is_empty() || !replica.is_current(now) {
             return;
         }
         let head = self.catalog.head().get();
         for pending in std::mem::take(&mut self.freshness) {
-            let reply = FreshnessReply {
-                request: pending.request,
-                head,
-            };
+            let reply = FreshnessReply { request: pending.request, head };
             self.fanout.reply(pending.session, reply);
         }
     }
 
     fn take_snapshot(&mut self) {
-        let Stage::Member(replica) = &self.stage else {
-            return;
-        };
+        let Stage::Member(replica) = &self.stage else { return };
         let start = replica.log().snapshot().index.max(self.snapshot_at);
         let index = replica.commit();
         if index < start + SNAPSHOT_ENTRIES {
@@ -463,11 +407,7 @@
     fn merge_targets(&mut self, update: TargetUpdate) {
         let now = monotonic_ms();
         let merge = |target: Target| self.targets.merge(target, now) == Merge::Changed;
-        let changed = update
-            .targets
-            .into_iter()
-            .map(merge)
-            .fold(false, |any, one| any | one);
+        let changed = update.targets.into_iter().map(merge).fold(false, |any, one| any | one);
         if changed {
             self.fanout.wake_all();
         }
@@ -544,20 +484,14 @@
             let code = faults.0.first().map(|fault| fault.code);
             let code = ResultCode::ALL.iter().find(|c| Some(c.number()) == code);
             let code = code.copied().unwrap_or(ResultCode::PatchMalformed);
-            let outcome = Outcome::Refused {
-                code,
-                faults: faults.0,
-            };
+            let outcome = Outcome::Refused { code, faults: faults.0 };
             return Box::pin(async move { Answer::outcome(outcome) });
         }
         self.token += 1;
         let (sender, receiver) = oneshot::channel();
         self.answers.insert(self.token, sender);
         let command = submission.encode_to_vec();
-        self.step(Input::Propose {
-            token: self.token,
-            command,
-        });
+        self.step(Input::Propose { token: self.token, command });
         Box::pin(async move {
             receiver.await.unwrap_or_else(|_| {
                 let detail = "the member stopped; send the same operation id again";
@@ -571,11 +505,7 @@
     type Result = Answer;
 
     fn handle(&mut self, message: Ask, _: &mut Self::Context) -> Answer {
-        let view = View {
-            catalog: &self.catalog,
-            tracker: &self.tracker,
-            targets: &self.targets,
-        };
+        let view = View { catalog: &self.catalog, tracker: &self.tracker, targets: &self.targets };
         match self.not_leading() {
             Some(answer) => answer,
             None => view.answer(&message.0),
@@ -624,20 +554,13 @@
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
         let leads = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
         if !leads {
-            let address = self
-                .leader_addresses()
-                .map(|(_, listen)| listen)
-                .unwrap_or_default();
-            return Err(Redirect {
-                address,
-                retry_ms: REDIRECT_RETRY,
-            });
+            let address = self.leader_addresses().map(|(_, listen)| listen).unwrap_or_default();
+            return Err(Redirect { address, retry_ms: REDIRECT_RETRY });
         }
         let grant = join.grant;
         Event::LinkOpened.emit(&[("peer", &grant.name), ("member", &self.name)]);
         let (session, wake) =
-            self.fanout
-                .join(grant.name, grant.zone, &join.hello, self.catalog.feed());
+            self.fanout.join(grant.name, grant.zone, &join.hello, self.catalog.feed());
         Ok(Joined { session, wake })
     }
 }
@@ -662,10 +585,7 @@
             upward::Body::Progress(progress) => self.tracker.update(session, progress),
             upward::Body::Targets(update) => self.merge_targets(update),
             upward::Body::Freshness(request) => {
-                self.freshness.push(Pending {
-                    session,
-                    request: request.request,
-                });
+                self.freshness.push(Pending { session, request: request.request });
                 self.answer_freshness(monotonic_ms());
             }
             upward::Body::Resync(_) => self.fanout.resync(session),
@@ -685,18 +605,9 @@
 
 fn new_replica(identity: Identity, options: &SourceOptions, restored: Restored) -> Box<Replica> {
     let election = options.election.as_millis() as u64;
-    let timing = Timing {
-        election,
-        heartbeat: election / HEARTBEATS,
-    };
+    let timing = Timing { election, heartbeat: election / HEARTBEATS };
     let seed = rand::rng().random();
-    Box::new(Replica::new(
-        identity,
-        timing,
-        restored,
-        seed,
-        monotonic_ms(),
-    ))
+    Box::new(Replica::new(identity, timing, restored, seed, monotonic_ms()))
 }
 
 fn log_outcome(submission: &Submission, outcome: &Outcome) {
--- a/crates/daemon/src/source/answer.rs
+++ b/crates/daemon/src/source/answer.rs
@@ -33,11 +33,7 @@
         match outcome {
             Outcome::Accepted(version) => Self::Accepted(version),
             Outcome::Refused { code, faults } => {
-                let detail = faults
-                    .iter()
-                    .map(ToString::to_string)
-                    .collect::<Vec<_>>()
-                    .join("; ");
+                let detail = faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ");
                 Self::Problem(Box::new(Problem::new(code, detail).with_faults(faults)))
             }
         }
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -130,10 +130,7 @@
     let text = header(request, OPERATION_HEADER)
         .unwrap_or_else(|| format!("{:032x}", rand::rng().random::<u128>()));
     text.parse().map_err(|error| {
-        Answer::problem(
-            ResultCode::PatchBadValue,
-            format!("{OPERATION_HEADER}: {error}"),
-        )
+        Answer::problem(ResultCode::PatchBadValue, format!("{OPERATION_HEADER}: {error}"))
     })
 }
 
@@ -165,12 +162,7 @@
     version: web::Path<u64>,
     source: Source,
 ) -> HttpResponse {
-    ask(
-        &request,
-        &source,
-        Question::Config(Some(Version::new(*version))),
-    )
-    .await
+    ask(&request, &source, Question::Config(Some(Version::new(*version)))).await
 }
 
 async fn head_config(request: HttpRequest, source: Source) -> HttpResponse {
@@ -199,10 +191,7 @@
     let valid = zone.parse::<ZoneName>().is_ok() && matches!(state.as_str(), "in" | "out");
     if !valid {
         let detail = "post to /v1/zones/ZONE/in or /v1/zones/ZONE/out";
-        return respond(
-            &request,
-            Answer::problem(ResultCode::ResourceNotFound, detail),
-        );
+        return respond(&request, Answer::problem(ResultCode::ResourceNotFound, detail));
     }
     let answer = match operation_id(&request) {
         Ok(operation) => submit_zone(&source, &zone, &state, operation, &request).await,
@@ -255,9 +244,6 @@
 }
 
 fn respond(request: &HttpRequest, answer: Answer) -> HttpResponse {
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     answer.into_response(path)
 }
--- a/crates/daemon/src/source/links.rs
+++ b/crates/daemon/src/source/links.rs
@@ -87,9 +87,7 @@
         Event::LinkRefused.emit(&[("peer", &accepted.grant.name), ("wanted", &Role::Source)]);
         return;
     }
-    let Ok(stream) = accepted.connection.accept_uni().await else {
-        return;
-    };
+    let Ok(stream) = accepted.connection.accept_uni().await else { return };
     let mut reader: Reader<Peer> = Reader::new(stream);
     while let Ok(message) = reader.receive().await {
         if actor.send(FromPeer(Box::new(message))).await.is_err() {
--- a/crates/daemon/src/source/query.rs
+++ b/crates/daemon/src/source/query.rs
@@ -56,12 +56,8 @@
     }
 
     fn versions(&self, after: Version, limit: usize) -> Answer {
-        let listed: Vec<Value> = self
-            .catalog
-            .versions_after(after)
-            .take(limit)
-            .map(summary)
-            .collect();
+        let listed: Vec<Value> =
+            self.catalog.versions_after(after).take(limit).map(summary).collect();
         Answer::Document(json!({ "versions": listed, "head": self.catalog.head().get() }))
     }
 
@@ -84,9 +80,7 @@
 
     fn moves(&self) -> Answer {
         let keys = self.catalog.feed().document().keys_of(Kind::Moves);
-        let moves: Vec<Value> = keys
-            .filter_map(|key| self.describe_move(&key.name))
-            .collect();
+        let moves: Vec<Value> = keys.filter_map(|key| self.describe_move(&key.name)).collect();
         Answer::Document(json!({ "moves": moves }))
     }
 
--- a/crates/daemon/src/source/writer.rs
+++ b/crates/daemon/src/source/writer.rs
@@ -27,9 +27,7 @@
 pub(crate) fn start(store: Store<DiskFolder>, reply: Recipient<Written>) -> Sender<Job> {
     let (sender, receiver) = channel();
     let run = move || write_jobs(store, &receiver, &reply);
-    let thread = std::thread::Builder::new()
-        .name("storage".to_owned())
-        .spawn(run);
+    let thread = std::thread::Builder::new().name("storage".to_owned()).spawn(run);
     assert!(thread.is_ok(), "the operating system refused a thread");
     sender
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -48,9 +48,7 @@
         let mut index = 0;
         let mut hinted: Option<SocketAddr> = None;
         while actor.connected() {
-            let address = hinted
-                .take()
-                .unwrap_or(self.addresses[index % self.addresses.len()]);
+            let address = hinted.take().unwrap_or(self.addresses[index % self.addresses.len()]);
             match self.serve(address, &actor).await {
                 Ok(Some(redirect)) => {
                     hinted = redirect.address.parse().ok();
@@ -78,9 +76,7 @@
         address: SocketAddr,
         actor: &Recipient<FromAbove>,
     ) -> Result<Option<Redirect>, LinkError> {
-        let connecting = self
-            .endpoint
-            .connect(address, self.role, Protocol::Distribution);
+        let connecting = self.endpoint.connect(address, self.role, Protocol::Distribution);
         let connection = tokio::time::timeout(CONNECT_LIMIT, connecting)
             .await
             .map_err(|_elapsed| LinkError::Connection(quinn::ConnectionError::TimedOut))??;
--- a/crates/daemon/tests/settings_check.rs
+++ b/crates/daemon/tests/settings_check.rs
@@ -73,18 +73,10 @@
 #[test]
 fn examples_are_valid() {
     let site = std::fs::read_dir(examples().join("local-site")).expect("the folder is readable");
-    let settings = site
-        .map(|entry| entry.expect("the entry is readable").path())
-        .filter(|path| {
-            let name = path
-                .file_name()
-                .unwrap_or_default()
-                .to_string_lossy()
-                .into_owned();
-            ["source", "relay", "node"]
-                .iter()
-                .any(|role| name.starts_with(role))
-        });
+    let settings = site.map(|entry| entry.expect("the entry is readable").path()).filter(|path| {
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        ["source", "relay", "node"].iter().any(|role| name.starts_with(role))
+    });
     let single = examples().join("single.json");
     for path in settings.chain([single]) {
         let output = check_file(&path);
--- a/crates/keys/src/authority.rs
+++ b/crates/keys/src/authority.rs
@@ -34,9 +34,7 @@
     pub fn generate() -> Result<(Self, String), KeyError> {
         let key = KeyPair::generate()?;
         let mut params = CertificateParams::new(Vec::new())?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, "kingcuplift authority");
+        params.distinguished_name.push(DnType::CommonName, "kingcuplift authority");
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
         let certificate = params.self_signed(&key)?.pem();
@@ -48,10 +46,7 @@
     /// Reads an authority from its certificate and private key in PEM.
     pub fn load(certificate: &str, key: &str) -> Result<Self, KeyError> {
         let issuer = Issuer::from_ca_cert_pem(certificate, KeyPair::from_pem(key)?)?;
-        Ok(Self {
-            certificate: certificate.to_owned(),
-            issuer,
-        })
+        Ok(Self { certificate: certificate.to_owned(), issuer })
     }
 
     /// Returns the authority's certificate in PEM.
@@ -63,18 +58,11 @@
     pub fn issue(&self, grant: &Grant) -> Result<IssuedKey, KeyError> {
         let key = KeyPair::generate()?;
         let mut params = CertificateParams::new(grant.names())?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, grant.name.as_str());
+        params.distinguished_name.push(DnType::CommonName, grant.name.as_str());
         params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
-        params.extended_key_usages = vec![
-            ExtendedKeyUsagePurpose::ServerAuth,
-            ExtendedKeyUsagePurpose::ClientAuth,
-        ];
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
         let certificate = params.signed_by(&key, &self.issuer)?.pem();
-        Ok(IssuedKey {
-            certificate,
-            key: key.serialize_pem(),
-        })
+        Ok(IssuedKey { certificate, key: key.serialize_pem() })
     }
 }
--- a/crates/keys/src/grant.rs
+++ b/crates/keys/src/grant.rs
@@ -78,10 +78,8 @@
 impl Grant {
     /// Returns the DNS names that stand for the grant.
     pub(crate) fn names(&self) -> Vec<String> {
-        let mut names = vec![
-            format!("{}{NAME_SUFFIX}", self.name),
-            format!("{}{ZONE_SUFFIX}", self.zone),
-        ];
+        let mut names =
+            vec![format!("{}{NAME_SUFFIX}", self.name), format!("{}{ZONE_SUFFIX}", self.zone)];
         names.extend(self.roles.iter().map(|role| role.server_name()));
         names
     }
@@ -100,10 +98,8 @@
             })
             .collect();
         let find = |suffix: &str| names.iter().find_map(|name| name.strip_suffix(suffix));
-        let roles: RoleSet = names
-            .iter()
-            .filter_map(|name| name.strip_suffix(ROLE_SUFFIX)?.parse().ok())
-            .collect();
+        let roles: RoleSet =
+            names.iter().filter_map(|name| name.strip_suffix(ROLE_SUFFIX)?.parse().ok()).collect();
         let name = find(NAME_SUFFIX)?.parse().ok()?;
         let zone = find(ZONE_SUFFIX)?.parse().ok()?;
         Some(Self { name, zone, roles })
--- a/crates/keys/src/tls.rs
+++ b/crates/keys/src/tls.rs
@@ -79,10 +79,7 @@
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain(credentials)?, key(credentials)?)?;
-    tls.alpn_protocols = Protocol::ALL
-        .iter()
-        .map(|protocol| protocol.alpn().to_vec())
-        .collect();
+    tls.alpn_protocols = Protocol::ALL.iter().map(|protocol| protocol.alpn().to_vec()).collect();
     let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
     config.transport_config(Arc::new(transport()));
     Ok(config)
@@ -109,9 +106,7 @@
 
 fn roots(credentials: &Credentials) -> Result<RootCertStore, TlsError> {
     let mut roots = RootCertStore::empty();
-    roots.add(CertificateDer::from_pem_slice(
-        credentials.authority.as_bytes(),
-    )?)?;
+    roots.add(CertificateDer::from_pem_slice(credentials.authority.as_bytes())?)?;
     Ok(roots)
 }
 
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -18,26 +18,19 @@
         if !self.log.membership().is_voter(self.identity.id) {
             return;
         }
-        self.role = Role::Survey {
-            granted: BTreeSet::from([self.identity.id]),
-        };
+        self.role = Role::Survey { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(true, false);
         self.count_votes();
     }
 
     /// Begins an election in a new term.
     pub(crate) fn begin_election(&mut self, transfer: bool) {
-        if !self.log.membership().is_voter(self.identity.id) {
+        if !self.log.membership().is_voter(self.identity.id) || !self.trust.is_proved() {
             return;
         }
         self.reset_deadline();
-        self.hard = HardState {
-            term: self.hard.term + 1,
-            vote: self.identity.id.get(),
-        };
-        self.role = Role::Candidate {
-            granted: BTreeSet::from([self.identity.id]),
-        };
+        self.hard = HardState { term: self.hard.term + 1, vote: self.identity.id.get() };
+        self.role = Role::Candidate { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(false, transfer);
         self.count_votes();
     }
@@ -56,10 +49,7 @@
 
     pub(crate) fn other_voters(&self) -> Vec<MemberId> {
         let voters = self.log.membership().voters.iter();
-        voters
-            .map(|v| MemberId::new(v.id))
-            .filter(|id| *id != self.identity.id)
-            .collect()
+        voters.map(|v| MemberId::new(v.id)).filter(|id| *id != self.identity.id).collect()
     }
 
     pub(crate) fn on_vote(&mut self, from: MemberId, term: u64, request: VoteRequest) {
@@ -78,7 +68,7 @@
             true => proposed > self.hard.term,
             false => proposed == self.hard.term && self.may_vote_for(from),
         };
-        let granted = current && free;
+        let granted = current && free && self.trust.is_proved();
         if granted && !request.pre {
             self.hard.vote = from.get();
             self.reset_deadline();
@@ -92,14 +82,7 @@
 
     fn reply_vote(&mut self, to: MemberId, pre: bool, granted: bool) {
         let last_index = self.log.last_index();
-        self.send_synced(
-            to,
-            peer::Body::VoteReply(VoteReply {
-                pre,
-                granted,
-                last_index,
-            }),
-        );
+        self.send_synced(to, peer::Body::VoteReply(VoteReply { pre, granted, last_index }));
     }
 
     pub(crate) fn on_vote_reply(&mut self, from: MemberId, disk: u64, term: u64, reply: VoteReply) {
@@ -107,7 +90,7 @@
             self.follow(term, None);
             return;
         }
-        if !self.check_disk(from, disk) || self.has_forgotten(from, reply.last_index) {
+        if !self.check_disk(from, disk) || self.has_forgotten(from, disk, reply.last_index) {
             return;
         }
         let current = reply.pre || term == self.hard.term;
@@ -125,10 +108,7 @@
         let membership = self.log.membership();
         let majority = membership.majority();
         let votes = |granted: &BTreeSet<MemberId>| {
-            granted
-                .iter()
-                .filter(|id| membership.is_voter(**id))
-                .count()
+            granted.iter().filter(|id| membership.is_voter(**id)).count()
         };
         match &self.role {
             Role::Survey { granted } if votes(granted) >= majority => self.begin_election(false),
@@ -140,22 +120,10 @@
     fn lead(&mut self) {
         let next = self.log.last_index() + 1;
         let members = self.log.membership();
-        let others = members
-            .voters
-            .iter()
-            .chain(&members.learners)
-            .map(|v| MemberId::new(v.id));
+        let others = members.voters.iter().chain(&members.learners).map(|v| MemberId::new(v.id));
         let progress: BTreeMap<_, _> = others
             .filter(|id| *id != self.identity.id)
-            .map(|id| {
-                (
-                    id,
-                    Progress {
-                        next,
-                        ..Progress::default()
-                    },
-                )
-            })
+            .map(|id| (id, Progress { next, ..Progress::default() }))
             .collect();
         self.role = Role::Leader(Leadership {
             since: self.now,
@@ -167,19 +135,13 @@
         });
         let term = self.hard.term;
         self.effects.push(Effect::Report(Notice::Elected { term }));
-        self.append_own(Entry {
-            index: next,
-            term,
-            body: Some(entry::Body::Noop(true)),
-        });
+        self.append_own(Entry { index: next, term, body: Some(entry::Body::Noop(true)) });
     }
 
     /// Hands leadership to the voter that holds the most entries.
     pub(crate) fn begin_transfer(&mut self) {
         let voters = self.other_voters();
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &mut self.role else { return };
         let best = lead
             .progress
             .iter()
@@ -194,16 +156,9 @@
     /// Tells the successor to start an election once it holds every entry.
     pub(crate) fn continue_transfer(&mut self) {
         let last = self.log.last_index();
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
-        let Some(successor) = lead.successor else {
-            return;
-        };
-        let ready = lead
-            .progress
-            .get(&successor)
-            .is_some_and(|p| p.matched == last);
+        let Role::Leader(lead) = &self.role else { return };
+        let Some(successor) = lead.successor else { return };
+        let ready = lead.progress.get(&successor).is_some_and(|p| p.matched == last);
         if ready {
             self.send_now(successor, peer::Body::Transfer(TransferRequest {}));
         }
--- a/crates/quorum/src/folder.rs
+++ b/crates/quorum/src/folder.rs
@@ -43,16 +43,9 @@
     /// Returns [`io::ErrorKind::WouldBlock`] when another process holds the folder.
     pub fn open(path: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(path)?;
-        let lock = OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(path.join(LOCK))?;
+        let lock = OpenOptions::new().create(true).append(true).open(path.join(LOCK))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self {
-                path: path.to_owned(),
-                lock,
-                open: None,
-            }),
+            Ok(()) => Ok(Self { path: path.to_owned(), lock, open: None }),
             Err(TryLockError::WouldBlock) => Err(io::ErrorKind::WouldBlock.into()),
             Err(TryLockError::Error(error)) => Err(error),
         }
@@ -63,10 +56,7 @@
         let open = self.open.take().filter(|(held, _)| held == name);
         let file = match open {
             Some((_, file)) => file,
-            None => OpenOptions::new()
-                .create(true)
-                .append(true)
-                .open(self.path.join(name))?,
+            None => OpenOptions::new().create(true).append(true).open(self.path.join(name))?,
         };
         let (_, file) = self.open.insert((name.to_owned(), file));
         Ok(file)
--- a/crates/quorum/src/formation.rs
+++ b/crates/quorum/src/formation.rs
@@ -34,20 +34,12 @@
             listen: listen.to_owned(),
             http: http.to_owned(),
         };
-        Self {
-            identity,
-            own,
-            initial,
-            offers: BTreeMap::new(),
-        }
+        Self { identity, own, initial, offers: BTreeMap::new() }
     }
 
     /// Returns the offer to send to every other initial member.
     pub fn offer(&self) -> Peer {
-        let body = FormationOffer {
-            listen: self.own.listen.clone(),
-            http: self.own.http.clone(),
-        };
+        let body = FormationOffer { listen: self.own.listen.clone(), http: self.own.http.clone() };
         Peer {
             from: self.identity.id.get(),
             disk: self.identity.disk,
@@ -67,8 +59,7 @@
                     listen: offer.listen.clone(),
                     http: offer.http.clone(),
                 };
-                self.offers
-                    .insert(MemberId::new(message.from), (now, voter));
+                self.offers.insert(MemberId::new(message.from), (now, voter));
                 None
             }
             Some(peer::Body::Formed(membership)) => {
@@ -94,10 +85,6 @@
             }
             voters.push(voter.clone());
         }
-        Some(Membership {
-            group,
-            voters,
-            learners: Vec::new(),
-        })
+        Some(Membership { group, voters, learners: Vec::new() })
     }
 }
--- a/crates/quorum/src/frame.rs
+++ b/crates/quorum/src/frame.rs
@@ -50,28 +50,17 @@
     if header[..4] != MAGIC {
         return None;
     }
-    let length = usize::try_from(number(4)?)
-        .ok()
-        .filter(|length| *length <= MAX_BODY)?;
+    let length = usize::try_from(number(4)?).ok().filter(|length| *length <= MAX_BODY)?;
     let body = bytes.get(HEADER..HEADER + length)?;
     let stated = number(12)?;
-    let frame = Frame {
-        previous: number(8)?,
-        checksum: stated,
-        body,
-    };
+    let frame = Frame { previous: number(8)?, checksum: stated, body };
     (checksum(&header[..12], body) == stated).then_some(frame)
 }
 
 /// Returns whether a sound frame begins anywhere in `bytes`.
 pub(crate) fn any_sound(bytes: &[u8]) -> bool {
-    let starts = bytes
-        .windows(MAGIC.len())
-        .enumerate()
-        .filter(|(_, window)| *window == MAGIC);
-    starts
-        .into_iter()
-        .any(|(at, _)| decode(&bytes[at..]).is_some())
+    let starts = bytes.windows(MAGIC.len()).enumerate().filter(|(_, window)| *window == MAGIC);
+    starts.into_iter().any(|(at, _)| decode(&bytes[at..]).is_some())
 }
 
 fn checksum(header: &[u8], body: &[u8]) -> u32 {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,6 +13,7 @@
 mod replica;
 mod replication;
 mod store;
+mod trust;
 
 pub use effect::{Effect, Event, Millis, Notice, Refusal, Ticket, Token};
 pub use folder::{DiskFolder, Folder};
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -70,12 +70,7 @@
     /// Returns up to `limit` entries from `index` on.
     pub fn slice(&self, index: u64, limit: usize) -> Vec<Entry> {
         let offset = index.saturating_sub(self.base.0 + 1) as usize;
-        self.entries
-            .iter()
-            .skip(offset)
-            .take(limit)
-            .cloned()
-            .collect()
+        self.entries.iter().skip(offset).take(limit).cloned().collect()
     }
 
     /// Returns the membership in force: that of the last membership entry, committed or not.
@@ -90,9 +85,7 @@
 
     /// Appends entries, replacing whatever stands from the first one's index on.
     pub fn append(&mut self, entries: Vec<Entry>) {
-        let Some(first) = entries.first().map(|entry| entry.index) else {
-            return;
-        };
+        let Some(first) = entries.first().map(|entry| entry.index) else { return };
         self.truncate_from(first);
         for entry in entries {
             if let Some(entry::Body::Membership(membership)) = &entry.body {
@@ -109,12 +102,7 @@
         }
         let term = self.term_at(index)?;
         let membership = self.membership_at(index);
-        let snapshot = Snapshot {
-            index,
-            term,
-            membership: Some(membership),
-            state,
-        };
+        let snapshot = Snapshot { index, term, membership: Some(membership), state };
         self.snapshot = Arc::new(snapshot);
         let keep_from = index.saturating_sub(KEPT_ENTRIES);
         if keep_from > self.base.0 {
@@ -138,9 +126,7 @@
 
     fn membership_at(&self, index: u64) -> Membership {
         let found = self.memberships.iter().rev().find(|(at, _)| *at <= index);
-        found
-            .map(|(_, membership)| membership.clone())
-            .unwrap_or_default()
+        found.map(|(_, membership)| membership.clone()).unwrap_or_default()
     }
 
     fn truncate_from(&mut self, index: u64) {
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -38,10 +38,7 @@
 
 impl Members for Membership {
     fn member(&self, id: MemberId) -> Option<&Voter> {
-        self.voters
-            .iter()
-            .chain(&self.learners)
-            .find(|voter| voter.id == id.get())
+        self.voters.iter().chain(&self.learners).find(|voter| voter.id == id.get())
     }
 
     fn is_voter(&self, id: MemberId) -> bool {
@@ -56,29 +53,14 @@
         if next.voters.is_empty() {
             return Err(MembershipError::Empty);
         }
-        let all: Vec<u64> = next
-            .voters
-            .iter()
-            .chain(&next.learners)
-            .map(|v| v.id)
-            .collect();
-        let twice = all
-            .iter()
-            .enumerate()
-            .find(|(i, id)| all[..*i].contains(id));
+        let all: Vec<u64> = next.voters.iter().chain(&next.learners).map(|v| v.id).collect();
+        let twice = all.iter().enumerate().find(|(i, id)| all[..*i].contains(id));
         if let Some((_, id)) = twice {
             return Err(MembershipError::Duplicate(MemberId::new(*id)));
         }
-        let added: Vec<&Voter> = next
-            .voters
-            .iter()
-            .filter(|voter| !self.voters.contains(voter))
-            .collect();
-        let removed = self
-            .voters
-            .iter()
-            .filter(|voter| !next.voters.contains(voter))
-            .count();
+        let added: Vec<&Voter> =
+            next.voters.iter().filter(|voter| !self.voters.contains(voter)).collect();
+        let removed = self.voters.iter().filter(|voter| !next.voters.contains(voter)).count();
         if added.len() + removed > 1 {
             return Err(MembershipError::ManyChanges);
         }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -10,6 +10,7 @@
 use crate::effect::{Effect, Event, Millis, Notice, Refusal, Ticket, Token};
 use crate::log::Log;
 use crate::membership::Members;
+use crate::trust::Trust;
 
 /// Proposals that may wait for commitment at a time.
 const MAX_PENDING: usize = 4_096;
@@ -108,7 +109,9 @@
     pub(crate) contact_at: Millis,
     pub(crate) deadline: Millis,
     pub(crate) now: Millis,
-    pub(crate) watermarks: BTreeMap<MemberId, u64>,
+    /// Committed entries that each member, with its disk, is known to have stored.
+    pub(crate) watermarks: BTreeMap<(MemberId, u64), u64>,
+    pub(crate) trust: Trust,
     pub(crate) effects: Vec<Effect>,
     /// Members whose disk has been reported as foreign or as lacking entries.
     reported: BTreeSet<MemberId>,
@@ -132,6 +135,10 @@
     ) -> Self {
         let start = restored.snapshot.index;
         let log = Log::new(restored.snapshot, restored.entries);
+        let trust = match log.last_index() {
+            0 => Trust::Proved,
+            _ => Trust::asking(now, timing.election),
+        };
         let mut replica = Self {
             identity,
             timing,
@@ -146,6 +153,7 @@
             deadline: now,
             now,
             watermarks: BTreeMap::new(),
+            trust,
             effects: Vec::new(),
             reported: BTreeSet::new(),
             unsaved: Vec::new(),
@@ -224,11 +232,7 @@
     /// Returns the index that each other member is known to hold; empty unless the member leads.
     pub fn matched(&self) -> BTreeMap<MemberId, u64> {
         match &self.role {
-            Role::Leader(lead) => lead
-                .progress
-                .iter()
-                .map(|(id, p)| (*id, p.matched))
-                .collect(),
+            Role::Leader(lead) => lead.progress.iter().map(|(id, p)| (*id, p.matched)).collect(),
             _ => BTreeMap::new(),
         }
     }
@@ -255,17 +259,11 @@
             .iter()
             .map(|voter| match MemberId::new(voter.id) {
                 id if id == self.identity.id => self.now,
-                id => lead
-                    .progress
-                    .get(&id)
-                    .map_or(0, |progress| progress.acked_ms),
+                id => lead.progress.get(&id).map_or(0, |progress| progress.acked_ms),
             })
             .collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
-        times
-            .get(self.log.membership().majority() - 1)
-            .copied()
-            .unwrap_or(0)
+        times.get(self.log.membership().majority() - 1).copied().unwrap_or(0)
     }
 
     fn drift(&self) -> Millis {
@@ -273,8 +271,10 @@
     }
 
     fn tick(&mut self) {
+        self.tick_trust();
         match &self.role {
             Role::Leader(_) => self.tick_leader(),
+            _ if !self.trust.is_proved() => {}
             _ if self.now >= self.deadline => self.begin_survey(),
             _ => {}
         }
@@ -296,6 +296,8 @@
                 self.on_append_reply(from, message.disk, message.term, reply);
             }
             Some(peer::Body::Snapshot(request)) => self.on_snapshot(from, message.term, request),
+            Some(peer::Body::Inquiry(_)) => self.on_inquiry(from, message.disk),
+            Some(peer::Body::InquiryReply(reply)) => self.on_inquiry_reply(from, reply),
             Some(peer::Body::Transfer(_)) if message.term == self.hard.term => {
                 self.begin_election(true);
             }
@@ -318,11 +320,7 @@
         };
         match refusal {
             Some(refusal) => self.effects.push(Effect::Refuse { token, refusal }),
-            None => self.append_own(Entry {
-                index,
-                term,
-                body: Some(body),
-            }),
+            None => self.append_own(Entry { index, term, body: Some(body) }),
         }
     }
 
@@ -333,9 +331,7 @@
 
     /// Adds entries to the log and to the next write.
     pub(crate) fn append_entries(&mut self, entries: Vec<Entry>) {
-        let Some(first) = entries.first().map(|entry| entry.index) else {
-            return;
-        };
+        let Some(first) = entries.first().map(|entry| entry.index) else { return };
         self.unsaved.retain(|entry| entry.index < first);
         self.unsaved.extend(entries.iter().cloned());
         self.stored = self.stored.min(first - 1);
@@ -355,8 +351,7 @@
             self.writes.pop_front();
         }
         while self.held.front().is_some_and(|(held, _)| *held <= ticket) {
-            self.effects
-                .extend(self.held.pop_front().map(|(_, effect)| effect));
+            self.effects.extend(self.held.pop_front().map(|(_, effect)| effect));
         }
         self.advance_commit();
     }
@@ -388,19 +383,12 @@
         self.saved = self.hard;
         let entries = std::mem::take(&mut self.unsaved);
         self.writes.push_back((self.ticket, self.log.last_index()));
-        self.effects.push(Effect::Save {
-            ticket: self.ticket,
-            hard,
-            entries,
-            snapshot,
-        });
+        self.effects.push(Effect::Save { ticket: self.ticket, hard, entries, snapshot });
     }
 
     fn apply_committed(&mut self) {
         while self.applied < self.commit {
-            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
-                return;
-            };
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
             self.applied = entry.index;
             let token = match &mut self.role {
                 Role::Leader(lead) => lead.pending.remove(&entry.index),
@@ -421,10 +409,7 @@
         if self.hard != self.saved || !self.unsaved.is_empty() {
             self.save(None);
         }
-        let effect = Effect::Send {
-            to,
-            message: self.envelope(body),
-        };
+        let effect = Effect::Send { to, message: self.envelope(body) };
         match self.ticket > self.done {
             true => self.held.push_back((self.ticket, effect)),
             false => self.effects.push(effect),
@@ -443,11 +428,7 @@
 
     /// Returns whether the message came from the disk that the membership names.
     pub(crate) fn check_disk(&mut self, from: MemberId, disk: u64) -> bool {
-        let known = self
-            .log
-            .membership()
-            .member(from)
-            .is_some_and(|voter| voter.disk == disk);
+        let known = self.log.membership().member(from).is_some_and(|voter| voter.disk == disk);
         if !known {
             self.report_disk(from);
         }
@@ -455,11 +436,9 @@
     }
 
     /// Returns whether a member holds fewer entries than it has acknowledged.
-    pub(crate) fn has_forgotten(&mut self, from: MemberId, last_index: u64) -> bool {
-        let forgotten = self
-            .watermarks
-            .get(&from)
-            .is_some_and(|index| last_index < *index);
+    pub(crate) fn has_forgotten(&mut self, from: MemberId, disk: u64, last_index: u64) -> bool {
+        let known = self.watermarks.get(&(from, disk));
+        let forgotten = known.is_some_and(|index| last_index < *index);
         if forgotten {
             self.report_disk(from);
         }
@@ -467,10 +446,9 @@
     }
 
     /// Reports a member's disk once.
-    fn report_disk(&mut self, member: MemberId) {
+    pub(crate) fn report_disk(&mut self, member: MemberId) {
         if self.reported.insert(member) {
-            self.effects
-                .push(Effect::Report(Notice::DiskRefused { member }));
+            self.effects.push(Effect::Report(Notice::DiskRefused { member }));
         }
     }
 
@@ -484,28 +462,21 @@
         self.role = Role::Follower { leader };
         match leader {
             Some(leader) if !followed => {
-                self.effects
-                    .push(Effect::Report(Notice::Following { term, leader }));
+                self.effects.push(Effect::Report(Notice::Following { term, leader }));
             }
             _ => {}
         }
     }
 
     fn abandon_leadership(&mut self) {
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &mut self.role else { return };
         let pending = std::mem::take(&mut lead.pending);
         let term = self.hard.term;
         self.reset_deadline();
         for token in pending.into_values() {
-            self.effects.push(Effect::Refuse {
-                token,
-                refusal: Refusal::LeadershipLost,
-            });
+            self.effects.push(Effect::Refuse { token, refusal: Refusal::LeadershipLost });
         }
-        self.effects
-            .push(Effect::Report(Notice::SteppedDown { term }));
+        self.effects.push(Effect::Report(Notice::SteppedDown { term }));
     }
 
     /// Sets the time at which the next election may begin.
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -4,26 +4,22 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_schema::quorum::{
-    AppendReply, AppendRequest, Entry, Membership, SnapshotRequest, Watermark, entry, peer,
+    AppendReply, AppendRequest, Entry, Membership, SnapshotRequest, Voter, Watermark, entry, peer,
 };
 
 use crate::effect::{Effect, Refusal, Token};
 use crate::membership::{Members, MembershipError};
-use crate::replica::{Leadership, Progress, Replica, Role};
+use crate::replica::{Identity, Leadership, Progress, Replica, Role};
 
 /// Entries in one request.
 const MAX_BATCH: usize = 512;
 /// Entries that a learner may lack when it is to become a voter.
 const CAUGHT_UP: u64 = 64;
-/// Election times after which a snapshot without an answer is sent again.
-const SNAPSHOT_PATIENCE: u64 = 10;
 
 impl Replica {
     pub(crate) fn tick_leader(&mut self) {
         let election = self.timing.election;
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &self.role else { return };
         let heard = self.lease_start(lead).max(lead.since);
         let beat = self.now >= lead.heartbeat_at;
         let handed_over = lead.transfer_at.is_some_and(|at| self.now >= at + election);
@@ -40,9 +36,7 @@
     /// Sends a request to every member, with entries where it lacks some.
     fn send_heartbeats(&mut self) {
         let next_beat = self.now + self.timing.heartbeat;
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &mut self.role else { return };
         lead.heartbeat_at = next_beat;
         let ids: Vec<MemberId> = lead.progress.keys().copied().collect();
         for id in ids {
@@ -53,13 +47,9 @@
     /// Sends entries to the members that have not been sent them yet.
     pub(crate) fn send_entries(&mut self) {
         let last = self.log.last_index();
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
-        let behind = lead
-            .progress
-            .iter()
-            .filter(|(_, p)| p.next <= last && p.snapshot_ms.is_none());
+        let Role::Leader(lead) = &self.role else { return };
+        let behind =
+            lead.progress.iter().filter(|(_, p)| p.next <= last && p.snapshot_ms.is_none());
         let ids: Vec<MemberId> = behind.map(|(id, _)| *id).collect();
         for id in ids {
             self.send_append(id);
@@ -69,18 +59,16 @@
     fn send_append(&mut self, to: MemberId) {
         let now = self.now;
         let base = self.log.base_index();
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let watermarks = watermarks(lead, self.identity.id, self.commit);
-        let Some(progress) = lead.progress.get_mut(&to) else {
-            return;
-        };
-        if progress.next <= base {
+        let Role::Leader(lead) = &mut self.role else { return };
+        let watermarks = watermarks(lead, self.log.membership(), self.identity, self.commit);
+        let Some(progress) = lead.progress.get_mut(&to) else { return };
+        if progress.next <= base && progress.snapshot_ms.is_none() {
             return self.send_snapshot(to);
         }
-        let prev_index = progress.next - 1;
-        let entries = self.log.slice(progress.next, MAX_BATCH);
+        let (prev_index, entries) = match progress.snapshot_ms {
+            Some(_) => (self.log.snapshot().index, Vec::new()),
+            None => (progress.next - 1, self.log.slice(progress.next, MAX_BATCH)),
+        };
         progress.next += entries.len() as u64;
         let request = AppendRequest {
             prev_index,
@@ -95,28 +83,11 @@
 
     fn send_snapshot(&mut self, to: MemberId) {
         let now = self.now;
-        let patience = SNAPSHOT_PATIENCE * self.timing.election;
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let Some(progress) = lead.progress.get_mut(&to) else {
-            return;
-        };
-        if progress
-            .snapshot_ms
-            .is_some_and(|sent| now < sent + patience)
-        {
-            return;
-        }
+        let Role::Leader(lead) = &mut self.role else { return };
+        let Some(progress) = lead.progress.get_mut(&to) else { return };
         progress.snapshot_ms = Some(now);
         let snapshot = Some(self.log.snapshot().as_ref().clone());
-        self.send_now(
-            to,
-            peer::Body::Snapshot(SnapshotRequest {
-                snapshot,
-                sent_ms: now,
-            }),
-        );
+        self.send_now(to, peer::Body::Snapshot(SnapshotRequest { snapshot, sent_ms: now }));
     }
 
     /// Accepts the sender as leader of `term`, or returns false for a leader of the past.
@@ -137,9 +108,9 @@
         if !self.accept_leader(from, term) {
             return self.reply_append(from, false, self.log.last_index(), request.sent_ms);
         }
-        for mark in &request.watermarks {
-            let known = self.watermarks.entry(MemberId::new(mark.id)).or_default();
-            *known = (*known).max(mark.index);
+        self.learn_watermarks(&request.watermarks);
+        if !self.trust.is_proved() {
+            return;
         }
         match self.log.term_at(request.prev_index) {
             Some(held) if held == request.prev_term => {}
@@ -199,15 +170,11 @@
         if term < self.hard.term || !self.check_disk(from, disk) {
             return;
         }
-        if self.has_forgotten(from, reply.last_index) {
+        if self.has_forgotten(from, disk, reply.last_index) {
             return;
         }
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let Some(progress) = lead.progress.get_mut(&from) else {
-            return;
-        };
+        let Role::Leader(lead) = &mut self.role else { return };
+        let Some(progress) = lead.progress.get_mut(&from) else { return };
         progress.acked_ms = progress.acked_ms.max(reply.sent_ms);
         match reply.accepted {
             true => {
@@ -215,6 +182,11 @@
                 progress.next = progress.next.max(progress.matched + 1);
                 progress.snapshot_ms = None;
             }
+            // The member lacks the snapshot although it has seen a later request.
+            false if progress.snapshot_ms.is_some_and(|sent| reply.sent_ms > sent) => {
+                progress.snapshot_ms = None;
+            }
+            false if progress.snapshot_ms.is_some() => {}
             false => progress.next = (reply.index + 1).max(progress.matched + 1),
         }
         self.advance_commit();
@@ -223,19 +195,14 @@
 
     /// Commits what a majority of voters has stored.
     pub(crate) fn advance_commit(&mut self) {
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &self.role else { return };
         let membership = self.log.membership();
         let mut stored: Vec<u64> = membership
             .voters
             .iter()
             .map(|voter| match MemberId::new(voter.id) {
                 id if id == self.identity.id => self.stored,
-                id => lead
-                    .progress
-                    .get(&id)
-                    .map_or(0, |progress| progress.matched),
+                id => lead.progress.get(&id).map_or(0, |progress| progress.matched),
             })
             .collect();
         stored.sort_unstable_by(|a, b| b.cmp(a));
@@ -249,13 +216,9 @@
 
     /// Remembers which committed entries each member has stored.
     fn raise_watermarks(&mut self) {
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
-        for mark in watermarks(lead, self.identity.id, self.commit) {
-            let known = self.watermarks.entry(MemberId::new(mark.id)).or_default();
-            *known = (*known).max(mark.index);
-        }
+        let Role::Leader(lead) = &self.role else { return };
+        let marks = watermarks(lead, self.log.membership(), self.identity, self.commit);
+        self.learn_watermarks(&marks);
     }
 
     /// Gives up leadership once a membership without this member is committed.
@@ -271,13 +234,9 @@
     /// Applies committed entries while the proposals are still known.
     fn apply_own(&mut self) {
         while self.applied < self.commit {
-            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
-                return;
-            };
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
             self.applied = entry.index;
-            let Role::Leader(lead) = &mut self.role else {
-                return;
-            };
+            let Role::Leader(lead) = &mut self.role else { return };
             let token = lead.pending.remove(&entry.index);
             self.effects.push(Effect::Apply { entry, token });
         }
@@ -287,9 +246,7 @@
         if !self.accept_leader(from, term) {
             return self.reply_append(from, false, self.log.last_index(), request.sent_ms);
         }
-        let Some(snapshot) = request.snapshot.map(Arc::new) else {
-            return;
-        };
+        let Some(snapshot) = request.snapshot.map(Arc::new) else { return };
         let index = snapshot.index;
         if index > self.commit {
             self.log.install(Arc::clone(&snapshot));
@@ -314,10 +271,7 @@
                 let refusal = Refusal::MembershipRefused;
                 self.effects.push(Effect::Refuse { token, refusal });
             }
-            _ => self.effects.push(Effect::Refuse {
-                token,
-                refusal: Refusal::NotLeader,
-            }),
+            _ => self.effects.push(Effect::Refuse { token, refusal: Refusal::NotLeader }),
         }
     }
 
@@ -344,17 +298,12 @@
         let next = self.log.last_index() + 1;
         let own = self.identity.id;
         let members = self.log.membership().clone();
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
+        let Role::Leader(lead) = &mut self.role else { return };
         lead.progress.retain(|id, _| members.member(*id).is_some());
         for voter in members.voters.iter().chain(&members.learners) {
             let id = MemberId::new(voter.id);
             if id != own {
-                let fresh = Progress {
-                    next,
-                    ..Progress::default()
-                };
+                let fresh = Progress { next, ..Progress::default() };
                 lead.progress.entry(id).or_insert(fresh);
             }
         }
@@ -364,16 +313,18 @@
 /// Lists the committed entries that each member is known to have stored.
 ///
 /// Entries that are not committed don't count: a later leader may have them removed.
-fn watermarks(lead: &Leadership, own: MemberId, commit: u64) -> Vec<Watermark> {
-    let others = lead
-        .progress
-        .iter()
-        .map(|(id, progress)| (*id, progress.matched.min(commit)));
-    others
-        .chain([(own, commit)])
-        .map(|(id, index)| Watermark {
-            id: id.get(),
-            index,
-        })
+fn watermarks(
+    lead: &Leadership,
+    membership: &Membership,
+    own: Identity,
+    commit: u64,
+) -> Vec<Watermark> {
+    let stored = |voter: &Voter| match MemberId::new(voter.id) {
+        id if id == own.id => commit,
+        id => lead.progress.get(&id).map_or(0, |progress| progress.matched.min(commit)),
+    };
+    let members = membership.voters.iter().chain(&membership.learners);
+    members
+        .map(|voter| Watermark { id: voter.id, disk: voter.disk, index: stored(voter) })
         .collect()
 }
--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -131,19 +131,8 @@
         let snapshot = store.read_snapshot()?;
         let (entries, truncated) = store.read_segments(&snapshot)?;
         let hard = store.hard;
-        let restored = Restored {
-            hard,
-            snapshot,
-            entries,
-        };
-        Ok((
-            store,
-            Recovery {
-                identity,
-                restored,
-                truncated,
-            },
-        ))
+        let restored = Restored { hard, snapshot, entries };
+        Ok((store, Recovery { identity, restored, truncated }))
     }
 
     /// Returns the folder.
@@ -178,9 +167,7 @@
         let last = batch.entries.last().map(|entry| entry.index);
         let (bytes, checksum) = frame::encode(self.checksum, &batch.encode_to_vec());
         let name = self.current_name();
-        self.folder
-            .append(&name, &bytes)
-            .map_err(|e| io_error(&name, e))?;
+        self.folder.append(&name, &bytes).map_err(|e| io_error(&name, e))?;
         self.folder.sync(&name).map_err(|e| io_error(&name, e))?;
         self.size += bytes.len() as u64;
         self.checksum = checksum;
@@ -217,32 +204,20 @@
     /// Writes a whole file so that a crash leaves either nothing or all of it.
     fn write_file(&mut self, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
         let folder = &mut self.folder;
-        let exists = folder
-            .list()
-            .map_err(|e| io_error(".", e))?
-            .iter()
-            .any(|n| n == TEMPORARY);
+        let exists = folder.list().map_err(|e| io_error(".", e))?.iter().any(|n| n == TEMPORARY);
         if exists {
-            folder
-                .remove(TEMPORARY)
-                .map_err(|e| io_error(TEMPORARY, e))?;
+            folder.remove(TEMPORARY).map_err(|e| io_error(TEMPORARY, e))?;
         }
-        folder
-            .append(TEMPORARY, bytes)
-            .map_err(|e| io_error(TEMPORARY, e))?;
+        folder.append(TEMPORARY, bytes).map_err(|e| io_error(TEMPORARY, e))?;
         folder.sync(TEMPORARY).map_err(|e| io_error(TEMPORARY, e))?;
-        folder
-            .rename(TEMPORARY, name)
-            .map_err(|e| io_error(name, e))?;
+        folder.rename(TEMPORARY, name).map_err(|e| io_error(name, e))?;
         folder.sync_names().map_err(|e| io_error(".", e))
     }
 
     fn begin_segment(&mut self) -> Result<(), StoreError> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
         let name = segment_name(number);
-        self.folder
-            .append(&name, &[])
-            .map_err(|e| io_error(&name, e))?;
+        self.folder.append(&name, &[]).map_err(|e| io_error(&name, e))?;
         self.folder.sync_names().map_err(|e| io_error(".", e))?;
         self.segments.push(Segment { number, last: 0 });
         self.size = 0;
@@ -268,29 +243,17 @@
             let held = read_whole::<DiskIdentity>(IDENTITY, &bytes)?;
             let member = MemberId::new(held.member);
             return match member == id {
-                true => Ok(Identity {
-                    id,
-                    disk: held.disk,
-                }),
-                false => Err(StoreError::Foreign {
-                    held: member,
-                    wanted: id,
-                }),
+                true => Ok(Identity { id, disk: held.disk }),
+                false => Err(StoreError::Foreign { held: member, wanted: id }),
             };
         }
         let orphan = names
             .iter()
             .find(|name| name.starts_with(SEGMENT_PREFIX) || name.starts_with(SNAPSHOT_PREFIX));
         if orphan.is_some() {
-            return Err(StoreError::Damaged {
-                file: IDENTITY.to_owned(),
-                offset: 0,
-            });
+            return Err(StoreError::Damaged { file: IDENTITY.to_owned(), offset: 0 });
         }
-        let identity = DiskIdentity {
-            member: id.get(),
-            disk: fresh,
-        };
+        let identity = DiskIdentity { member: id.get(), disk: fresh };
         let (bytes, _) = frame::encode(0, &identity.encode_to_vec());
         self.write_file(IDENTITY, &bytes)?;
         Ok(Identity { id, disk: fresh })
@@ -312,11 +275,8 @@
 
     /// Reads all segments and returns the entries after the snapshot.
     fn read_segments(&mut self, snapshot: &Snapshot) -> Result<(Vec<Entry>, u64), StoreError> {
-        let mut numbers: Vec<u64> = self
-            .list()?
-            .iter()
-            .filter_map(|name| parse_name(name, SEGMENT_PREFIX))
-            .collect();
+        let mut numbers: Vec<u64> =
+            self.list()?.iter().filter_map(|name| parse_name(name, SEGMENT_PREFIX)).collect();
         numbers.sort_unstable();
         let mut entries = Vec::new();
         let mut truncated = 0;
@@ -327,10 +287,9 @@
         let kept = after_snapshot(entries, snapshot);
         let first = kept.first().map(|entry| entry.index);
         match first {
-            Some(index) if index != snapshot.index + 1 => Err(StoreError::Gap {
-                file: self.current_name(),
-                index,
-            }),
+            Some(index) if index != snapshot.index + 1 => {
+                Err(StoreError::Gap { file: self.current_name(), index })
+            }
             _ => Ok((kept, truncated)),
         }
     }
@@ -345,10 +304,8 @@
     ) -> Result<u64, StoreError> {
         let name = segment_name(number);
         let bytes = self.read(&name)?;
-        let damaged = |offset: usize| StoreError::Damaged {
-            file: name.clone(),
-            offset: offset as u64,
-        };
+        let damaged =
+            |offset: usize| StoreError::Damaged { file: name.clone(), offset: offset as u64 };
         let mut at = 0;
         let mut last = 0;
         while at < bytes.len() {
@@ -363,10 +320,7 @@
             let batch = Batch::decode(frame.body).ok().filter(|_| chained);
             let batch = batch.ok_or_else(|| damaged(at))?;
             self.hard = batch.hard.unwrap_or(self.hard);
-            last = batch
-                .entries
-                .last()
-                .map_or(last, |entry| last.max(entry.index));
+            last = batch.entries.last().map_or(last, |entry| last.max(entry.index));
             if !extend_entries(entries, batch.entries) {
                 return Err(damaged(at));
             }
@@ -377,9 +331,7 @@
         self.size = at as u64;
         let rest = (bytes.len() - at) as u64;
         if rest > 0 {
-            self.folder
-                .truncate(&name, at as u64)
-                .map_err(|e| io_error(&name, e))?;
+            self.folder.truncate(&name, at as u64).map_err(|e| io_error(&name, e))?;
             self.folder.sync(&name).map_err(|e| io_error(&name, e))?;
         }
         Ok(rest)
@@ -399,9 +351,7 @@
         _ => entries.truncate((first - start) as usize),
     }
     entries.extend(added);
-    entries
-        .windows(2)
-        .all(|pair| pair[0].index + 1 == pair[1].index)
+    entries.windows(2).all(|pair| pair[0].index + 1 == pair[1].index)
 }
 
 /// Returns the entries after the snapshot, or none when they belong to a replaced log.
@@ -409,10 +359,7 @@
     let at = entries.iter().find(|entry| entry.index == snapshot.index);
     match at {
         Some(entry) if entry.term != snapshot.term => Vec::new(),
-        _ => entries
-            .into_iter()
-            .filter(|entry| entry.index > snapshot.index)
-            .collect(),
+        _ => entries.into_iter().filter(|entry| entry.index > snapshot.index).collect(),
     }
 }
 
@@ -421,20 +368,14 @@
     let frame = frame::decode(bytes).filter(|frame| frame.len() == bytes.len());
     match frame.and_then(|frame| M::decode(frame.body).ok()) {
         Some(message) => Ok(message),
-        None => Err(StoreError::Damaged {
-            file: name.to_owned(),
-            offset: 0,
-        }),
+        None => Err(StoreError::Damaged { file: name.to_owned(), offset: 0 }),
     }
 }
 
 fn io_error(file: &str, source: io::Error) -> StoreError {
     match source.kind() {
         io::ErrorKind::WouldBlock => StoreError::Locked,
-        _ => StoreError::Io {
-            file: file.to_owned(),
-            source,
-        },
+        _ => StoreError::Io { file: file.to_owned(), source },
     }
 }
 
--- /dev/null
+++ b/crates/quorum/src/trust.rs
@@ -0,0 +1,102 @@
+//! Whether a restarted member's disk holds all that it has acknowledged.
+//!
+//! The other members remember which committed entries each disk has stored. A restarted member takes no
+//! part until a leader, or every other voter, has told it what it must hold. When some voter can't be
+//! reached for a while, that voter counts as the fault that the group tolerates, and the member goes on.
+
+use std::collections::BTreeSet;
+
+use kingcuplift_core::MemberId;
+use kingcuplift_schema::quorum::{InquiryReply, InquiryRequest, Watermark, peer};
+
+use crate::effect::Millis;
+use crate::replica::Replica;
+
+/// Election times after which a member goes on although some voter has not answered.
+const PATIENCE: u64 = 10;
+
+/// Trust in the member's own disk.
+#[derive(Debug)]
+pub(crate) enum Trust {
+    /// The disk holds all that it should, as far as anybody knows.
+    Proved,
+    /// The other voters are being asked.
+    Asking {
+        /// When the member goes on without further answers.
+        until: Millis,
+        /// When the voters are asked again.
+        again: Millis,
+        /// Voters that have answered.
+        answered: BTreeSet<MemberId>,
+    },
+    /// The disk lacks acknowledged entries; the member must be replaced.
+    Refused,
+}
+
+impl Trust {
+    /// Begins to ask.
+    pub(crate) fn asking(now: Millis, election: Millis) -> Self {
+        Self::Asking { until: now + PATIENCE * election, again: now, answered: BTreeSet::new() }
+    }
+
+    /// Returns whether the member may take part.
+    pub(crate) fn is_proved(&self) -> bool {
+        matches!(self, Self::Proved)
+    }
+}
+
+impl Replica {
+    /// Asks the other voters, and goes on when time is up.
+    pub(crate) fn tick_trust(&mut self) {
+        let (now, heartbeat) = (self.now, self.timing.heartbeat);
+        let others = self.other_voters();
+        let Trust::Asking { until, again, answered } = &mut self.trust else { return };
+        if now >= *until || others.iter().all(|id| answered.contains(id)) {
+            self.trust = Trust::Proved;
+            return;
+        }
+        if now < *again {
+            return;
+        }
+        *again = now + heartbeat;
+        let unanswered: Vec<_> = others.into_iter().filter(|id| !answered.contains(id)).collect();
+        for id in unanswered {
+            self.send_now(id, peer::Body::Inquiry(InquiryRequest {}));
+        }
+    }
+
+    pub(crate) fn on_inquiry(&mut self, from: MemberId, disk: u64) {
+        let index = self.watermarks.get(&(from, disk)).copied().unwrap_or(0);
+        let watermark = Some(Watermark { id: from.get(), disk, index });
+        self.send_now(from, peer::Body::InquiryReply(InquiryReply { watermark }));
+    }
+
+    pub(crate) fn on_inquiry_reply(&mut self, from: MemberId, reply: InquiryReply) {
+        self.learn_watermarks(reply.watermark.as_slice());
+        if let Trust::Asking { answered, .. } = &mut self.trust {
+            answered.insert(from);
+        }
+    }
+
+    /// Remembers watermarks and compares the member's own with its log.
+    pub(crate) fn learn_watermarks(&mut self, marks: &[Watermark]) {
+        for mark in marks {
+            let key = (MemberId::new(mark.id), mark.disk);
+            let known = self.watermarks.entry(key).or_default();
+            *known = (*known).max(mark.index);
+        }
+        let own = (self.identity.id, self.identity.disk);
+        let listed = marks.iter().any(|mark| (MemberId::new(mark.id), mark.disk) == own);
+        let needed = self.watermarks.get(&own).copied().unwrap_or(0);
+        let is_whole = self.log.last_index() >= needed;
+        match self.trust {
+            Trust::Asking { .. } if !is_whole => {
+                self.trust = Trust::Refused;
+                self.report_disk(self.identity.id);
+            }
+            // Only a leader lists several members; it knows what they have stored.
+            Trust::Asking { .. } if listed && marks.len() > 1 => self.trust = Trust::Proved,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/consensus_model.rs
@@ -0,0 +1,130 @@
+//! Random schedules of faults on the real state machine and the real storage code.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+#[path = "support/disk.rs"]
+mod disk;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use cluster::{Cluster, id};
+
+/// Seed of the schedules.
+const SEED: u64 = 20_261_204;
+/// Schedules for each size of the group.
+const CASES: u32 = 200;
+
+/// One step of a schedule; numbers are taken modulo what is there.
+#[derive(Debug, Clone)]
+enum Step {
+    Advance(u64),
+    Deliver(usize),
+    Repeat(usize),
+    Lose(usize),
+    Sync(u64),
+    Propose(u64),
+    Crash(u64, usize),
+    Restart(u64),
+    Cut(u64, u64),
+    Heal,
+    Freeze(u64),
+    Thaw(u64),
+    Snapshot(u64),
+    Transfer(u64),
+    Round,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let member = 0..5_u64;
+    let step = prop_oneof![
+        6 => (1..120_u64).prop_map(Step::Advance),
+        20 => any::<usize>().prop_map(Step::Deliver),
+        2 => any::<usize>().prop_map(Step::Repeat),
+        3 => any::<usize>().prop_map(Step::Lose),
+        12 => member.clone().prop_map(Step::Sync),
+        8 => member.clone().prop_map(Step::Propose),
+        1 => (member.clone(), any::<usize>()).prop_map(|(m, kept)| Step::Crash(m, kept)),
+        2 => member.clone().prop_map(Step::Restart),
+        2 => (member.clone(), member.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
+        1 => Just(Step::Heal),
+        1 => member.clone().prop_map(Step::Freeze),
+        2 => member.clone().prop_map(Step::Thaw),
+        1 => member.clone().prop_map(Step::Snapshot),
+        1 => member.prop_map(Step::Transfer),
+        10 => Just(Step::Round),
+    ];
+    prop::collection::vec(step, 100..400)
+}
+
+fn run(cluster: &mut Cluster, size: u64, steps: &[Step]) {
+    let member = |number: &u64| id(number % size + 1);
+    for (at, step) in steps.iter().enumerate() {
+        match step {
+            Step::Advance(millis) => cluster.advance(*millis),
+            Step::Deliver(pick) => cluster.deliver(*pick, false),
+            Step::Repeat(pick) => cluster.deliver(*pick, true),
+            Step::Lose(pick) => cluster.lose(*pick),
+            Step::Sync(number) => drop(cluster.sync(member(number))),
+            Step::Propose(number) => {
+                let to = cluster.leader().unwrap_or(member(number));
+                cluster.propose(to, format!("c{at}").as_bytes());
+            }
+            Step::Crash(number, kept) => cluster.crash(member(number), *kept),
+            Step::Restart(number) => drop(cluster.restart(member(number))),
+            Step::Cut(from, to) => cluster.cut(member(from), member(to), true),
+            Step::Heal => cluster.heal(),
+            Step::Freeze(number) => cluster.freeze(member(number), true),
+            Step::Thaw(number) => cluster.freeze(member(number), false),
+            Step::Snapshot(number) => cluster.snapshot(member(number)),
+            Step::Transfer(number) => cluster.transfer(member(number)),
+            Step::Round => round(cluster),
+        }
+    }
+}
+
+/// Lets everything in flight arrive and every write finish.
+fn round(cluster: &mut Cluster) {
+    for id in cluster.ids() {
+        cluster.sync(id);
+    }
+    for _ in 0..cluster.in_flight() {
+        cluster.deliver(0, false);
+    }
+    cluster.advance(20);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn three_members(seed in any::<u64>(), steps in steps()) {
+        let mut cluster = Cluster::formed(3, 0, seed);
+        run(&mut cluster, 3, &steps);
+        cluster.finish();
+    }
+
+    #[test]
+    fn five_members(seed in any::<u64>(), steps in steps()) {
+        let mut cluster = Cluster::formed(5, 0, seed);
+        run(&mut cluster, 5, &steps);
+        cluster.finish();
+    }
+
+    #[test]
+    fn one_member(seed in any::<u64>(), steps in steps()) {
+        let mut cluster = Cluster::formed(1, 0, seed);
+        run(&mut cluster, 1, &steps);
+        cluster.finish();
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/support/disk.rs
@@ -0,0 +1,141 @@
+//! A folder in memory that loses what was not synced and fails when told to.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use kingcuplift_quorum::Folder;
+
+/// Number of a file, independent of its name.
+type FileId = u64;
+
+#[derive(Debug, Clone, Default)]
+struct File {
+    data: Vec<u8>,
+    durable: Vec<u8>,
+}
+
+/// How the folder fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DiskFault {
+    /// Every sync fails.
+    Sync,
+    /// Appending writes half of the bytes, then fails.
+    Full,
+}
+
+/// A folder in memory.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FakeDisk {
+    files: BTreeMap<FileId, File>,
+    names: BTreeMap<String, FileId>,
+    durable_names: BTreeMap<String, FileId>,
+    next: FileId,
+    pub(crate) fault: Option<DiskFault>,
+}
+
+impl FakeDisk {
+    /// Loses what was not synced; `kept` chooses how much of each unsynced write stays.
+    pub(crate) fn crash(&mut self, kept: usize) {
+        self.names = self.durable_names.clone();
+        self.fault = None;
+        for file in self.files.values_mut() {
+            let appended = file.data.starts_with(&file.durable);
+            if appended && file.data.len() > file.durable.len() {
+                let fresh = file.data.len() - file.durable.len();
+                file.data.truncate(file.durable.len() + kept % (fresh + 1));
+            } else {
+                file.data.clone_from(&file.durable);
+            }
+            file.durable.clone_from(&file.data);
+        }
+    }
+
+    /// Returns the names of the files.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.names.keys().cloned().collect()
+    }
+
+    /// Changes one byte of a file.
+    pub(crate) fn damage(&mut self, name: &str, offset: usize) {
+        let id = self.names[name];
+        let file = self.files.get_mut(&id).expect("a named file exists");
+        let at = offset % file.data.len();
+        file.data[at] ^= 0x5a;
+        file.durable.clone_from(&file.data);
+    }
+
+    /// Returns the number of bytes of a file.
+    pub(crate) fn size(&self, name: &str) -> usize {
+        self.files[&self.names[name]].data.len()
+    }
+
+    fn file(&mut self, name: &str) -> &mut File {
+        let id = *self.names.entry(name.to_owned()).or_insert_with(|| {
+            self.next += 1;
+            self.next
+        });
+        self.files.entry(id).or_default()
+    }
+}
+
+fn missing() -> io::Error {
+    io::ErrorKind::NotFound.into()
+}
+
+impl Folder for FakeDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.names())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let id = self.names.get(name).ok_or_else(missing)?;
+        Ok(self.files[id].data.clone())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let full = self.fault == Some(DiskFault::Full);
+        let file = self.file(name);
+        match full {
+            true => {
+                file.data.extend_from_slice(&bytes[..bytes.len() / 2]);
+                Err(io::ErrorKind::StorageFull.into())
+            }
+            false => {
+                file.data.extend_from_slice(bytes);
+                Ok(())
+            }
+        }
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        if self.fault == Some(DiskFault::Sync) {
+            return Err(io::Error::other("the sync failed"));
+        }
+        let file = self.file(name);
+        file.durable.clone_from(&file.data);
+        Ok(())
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        if self.fault == Some(DiskFault::Sync) {
+            return Err(io::Error::other("the sync failed"));
+        }
+        self.durable_names = self.names.clone();
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name).data.truncate(length as usize);
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let id = self.names.remove(from).ok_or_else(missing)?;
+        self.names.insert(to.to_owned(), id);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.names.remove(name).map(drop).ok_or_else(missing)
+    }
+}
--- a/crates/schema/codegen/compile.rs
+++ b/crates/schema/codegen/compile.rs
@@ -11,18 +11,12 @@
 /// Writes one Rust file for each `.proto` file into `out`.
 pub(crate) fn generate(root: &Path, out: &Path) -> std::io::Result<()> {
     let folder = root.join("proto");
-    let files: Vec<_> = FILES
-        .iter()
-        .map(|name| folder.join(format!("{name}.proto")))
-        .collect();
+    let files: Vec<_> = FILES.iter().map(|name| folder.join(format!("{name}.proto"))).collect();
     let descriptors = protox::compile(&files, [&folder]).map_err(std::io::Error::other)?;
     let mut config = prost_build::Config::new();
     config.out_dir(out);
     config.btree_map(["."]);
-    config.bytes([
-        ".kingcuplift.quorum.Entry",
-        ".kingcuplift.control.UpdateFrame",
-    ]);
+    config.bytes([".kingcuplift.quorum.Entry", ".kingcuplift.control.UpdateFrame"]);
     config.type_attribute(".kingcuplift.settings", JSON);
     config.type_attribute(".kingcuplift.config", JSON);
     config.compile_fds(descriptors)
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -10,19 +10,13 @@
 }
 
 /// Messages between source, relays and nodes.
-#[expect(
-    missing_docs,
-    reason = "the generator leaves the bodies of alternatives without comments"
-)]
+#[expect(missing_docs, reason = "the generator leaves the bodies of alternatives without comments")]
 pub mod control {
     include!("generated/kingcuplift.control.rs");
 }
 
 /// Records of the replicated log and messages between source members.
-#[expect(
-    missing_docs,
-    reason = "the generator leaves the bodies of alternatives without comments"
-)]
+#[expect(missing_docs, reason = "the generator leaves the bodies of alternatives without comments")]
 pub mod quorum {
     include!("generated/kingcuplift.quorum.rs");
 }
--- a/crates/schema/tests/generated_code.rs
+++ b/crates/schema/tests/generated_code.rs
@@ -16,9 +16,6 @@
         let committed = root.join("src/generated").join(name);
         let left = std::fs::read_to_string(&fresh).expect("the fresh file is readable");
         let right = std::fs::read_to_string(&committed).expect("the committed file is readable");
-        assert_eq!(
-            left, right,
-            "run `cargo run -p kingcuplift-schema --example generate`"
-        );
+        assert_eq!(left, right, "run `cargo run -p kingcuplift-schema --example generate`");
     }
 }
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -9,9 +9,7 @@
     let test = std::env::current_exe().expect("a test knows its own path");
     let mut folder = test.parent().expect("a program lies in a folder");
     if folder.ends_with("deps") {
-        folder = folder
-            .parent()
-            .expect("the folder of dependencies lies in another");
+        folder = folder.parent().expect("the folder of dependencies lies in another");
     }
     let candidates = [folder.join(name), folder.join("examples").join(name)];
     let found = candidates.into_iter().find(|path| path.exists());
@@ -20,11 +18,7 @@
 
 /// Starts a program whose output goes to a log file.
 pub(crate) fn spawn(program: &str, arguments: &[String], folder: &Path, log: &Path) -> Child {
-    let log = File::options()
-        .create(true)
-        .append(true)
-        .open(log)
-        .expect("the log can be opened");
+    let log = File::options().create(true).append(true).open(log).expect("the log can be opened");
     let errors = log.try_clone().expect("the log can be shared");
     Command::new(binary(program))
         .args(arguments)
--- a/crates/testing/src/site.rs
+++ b/crates/testing/src/site.rs
@@ -59,12 +59,7 @@
 
 impl Default for SiteBuilder {
     fn default() -> Self {
-        Self {
-            sources: 3,
-            relays: 2,
-            nodes: 3,
-            target_flags: Vec::new(),
-        }
+        Self { sources: 3, relays: 2, nodes: 3, target_flags: Vec::new() }
     }
 }
 
@@ -140,10 +135,7 @@
     pub fn ask_stop(&self, name: &str) {
         let pid = self.running[name].id().to_string();
         let sent = Command::new("kill").args(["-TERM", &pid]).status();
-        assert!(
-            sent.is_ok_and(|status| status.success()),
-            "the signal is sent"
-        );
+        assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
     /// Waits until a process that was asked to stop has ended.
@@ -189,20 +181,14 @@
         let path = self.write("patch.json", patch);
         let base = base.to_string();
         let arguments = ["submit", &path, "--base", &base, "--wait", "--json"];
-        self.command_json(&arguments)["version"]
-            .as_u64()
-            .expect("a version number")
+        self.command_json(&arguments)["version"].as_u64().expect("a version number")
     }
 
     /// Returns the name of the source member that leads.
     pub async fn leader(&self) -> String {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            for name in self
-                .running
-                .keys()
-                .filter(|name| name.starts_with("source"))
-            {
+            for name in self.running.keys().filter(|name| name.starts_with("source")) {
                 let health = self.get(&self.addresses[name].http, "/healthz").await;
                 if health.is_some_and(|reply| reply.body["role"] == "leader") {
                     return name.clone();
@@ -227,19 +213,13 @@
             }
             actix_rt::time::sleep(POLL).await;
         }
-        panic!(
-            "{name}: {what} did not come about; its log: {}",
-            self.log(name)
-        );
+        panic!("{name}: {what} did not come about; its log: {}", self.log(name));
     }
 
     /// Sends a call to a node and returns the answer, if there is one.
     pub async fn call(&self, node: &str, method: Method, path: &str, id: &str) -> Option<Reply> {
         let url = format!("http://{}{path}", self.addresses[node].callers);
-        let client = Client::builder()
-            .timeout(PATIENCE)
-            .disable_redirects()
-            .finish();
+        let client = Client::builder().timeout(PATIENCE).disable_redirects().finish();
         let request = client
             .request(method, url)
             .insert_header(("host", "lessons.example"))
@@ -250,9 +230,7 @@
     /// Returns how many calls the target beside a node has run.
     pub async fn runs(&self, target: &str) -> u64 {
         let reply = self.get(&self.addresses[target].http, "/runs").await;
-        reply
-            .and_then(|reply| reply.body["total"].as_u64())
-            .unwrap_or(0)
+        reply.and_then(|reply| reply.body["total"].as_u64()).unwrap_or(0)
     }
 
     async fn get(&self, address: &str, path: &str) -> Option<Reply> {
@@ -261,21 +239,13 @@
     }
 
     fn http_of(&self, role: &str) -> Vec<String> {
-        let named = self
-            .addresses
-            .iter()
-            .filter(|(name, _)| name.starts_with(role));
+        let named = self.addresses.iter().filter(|(name, _)| name.starts_with(role));
         named.map(|(_, addresses)| addresses.http.clone()).collect()
     }
 
     fn listen_of(&self, role: &str) -> Vec<String> {
-        let named = self
-            .addresses
-            .iter()
-            .filter(|(name, _)| name.starts_with(role));
-        named
-            .map(|(_, addresses)| addresses.listen.clone())
-            .collect()
+        let named = self.addresses.iter().filter(|(name, _)| name.starts_with(role));
+        named.map(|(_, addresses)| addresses.listen.clone()).collect()
     }
 
     fn issue_authority(&self) {
@@ -284,19 +254,12 @@
     }
 
     fn keys_dir(&self) -> String {
-        self.folder
-            .path()
-            .join("keys")
-            .to_string_lossy()
-            .into_owned()
+        self.folder.path().join("keys").to_string_lossy().into_owned()
     }
 
     fn run_keys(&self, arguments: &[&str]) {
         let status = Command::new(binary("kingcuplift")).args(arguments).status();
-        assert!(
-            status.is_ok_and(|status| status.success()),
-            "{arguments:?} failed"
-        );
+        assert!(status.is_ok_and(|status| status.success()), "{arguments:?} failed");
     }
 
     /// Draws addresses and writes the settings of all processes.
@@ -366,10 +329,7 @@
     }
 
     fn source_settings(&self, number: usize, own: &Addresses, name: &str) -> Value {
-        let sources = self
-            .addresses
-            .iter()
-            .filter(|(name, _)| name.starts_with("source"));
+        let sources = self.addresses.iter().filter(|(name, _)| name.starts_with("source"));
         let members: Vec<Value> = sources
             .enumerate()
             .map(|(i, (_, a))| json!({ "id": i + 1, "listen": a.listen, "http": a.http }))
@@ -394,8 +354,7 @@
             "lessons-desk".to_owned(),
         ];
         arguments.extend(builder.target_flags.iter().cloned());
-        self.commands
-            .insert(format!("target-{number}"), ("stand_in_target", arguments));
+        self.commands.insert(format!("target-{number}"), ("stand_in_target", arguments));
     }
 
     async fn wait_targets(&self, count: usize) {
@@ -403,19 +362,13 @@
         while Instant::now() < until {
             let output = self.command(&["targets", "--json"]);
             let document: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
-            if document["targets"]
-                .as_array()
-                .is_some_and(|targets| targets.len() >= count)
-            {
+            if document["targets"].as_array().is_some_and(|targets| targets.len() >= count) {
                 return;
             }
             actix_rt::time::sleep(POLL).await;
         }
         let logs: Vec<String> = self.commands.keys().map(|name| self.log(name)).collect();
-        panic!(
-            "the source does not know all targets; logs: {}",
-            logs.join("\n")
-        );
+        panic!("the source does not know all targets; logs: {}", logs.join("\n"));
     }
 }
 
@@ -433,10 +386,7 @@
 async fn read(request: awc::ClientRequest) -> Option<Reply> {
     let mut response = request.send().await.ok()?;
     let body = response.body().await.ok()?;
-    let call = response
-        .headers()
-        .get("x-call-id")
-        .and_then(|value| value.to_str().ok());
+    let call = response.headers().get("x-call-id").and_then(|value| value.to_str().ok());
     Some(Reply {
         status: response.status().as_u16(),
         call: call.unwrap_or_default().to_owned(),
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -139,9 +139,7 @@
         let place = (rank, self.arrivals);
         self.waiting.insert(place, Waiting { id, deadline_us });
         self.places.insert(id, place);
-        Decision::Wait {
-            displaced: displaced.map(|(_, id)| id),
-        }
+        Decision::Wait { displaced: displaced.map(|(_, id)| id) }
     }
 
     /// Records that a running call has ended and returns what becomes of waiting calls.
@@ -158,12 +156,8 @@
     pub fn release(&mut self, now_us: u64) -> Vec<Release> {
         let mut released = Vec::new();
         while self.running < self.limits.slots {
-            let Some(place) = self.next_place() else {
-                break;
-            };
-            let Some(call) = self.waiting.remove(&place) else {
-                break;
-            };
+            let Some(place) = self.next_place() else { break };
+            let Some(call) = self.waiting.remove(&place) else { break };
             self.places.remove(&call.id);
             if now_us >= call.deadline_us {
                 released.push(Release::Expired(call.id));
@@ -188,11 +182,9 @@
     fn next_place(&self) -> Option<Place> {
         let first = self.waiting.first_key_value().map(|(place, _)| *place);
         match self.releases % FAIRNESS_INTERVAL {
-            rest if rest == FAIRNESS_INTERVAL - 1 => self
-                .waiting
-                .keys()
-                .copied()
-                .min_by_key(|(_, arrival)| *arrival),
+            rest if rest == FAIRNESS_INTERVAL - 1 => {
+                self.waiting.keys().copied().min_by_key(|(_, arrival)| *arrival)
+            }
             _ => first,
         }
     }
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -90,23 +90,14 @@
     now_ms: u64,
     rng: &mut impl Rng,
 ) -> Option<&'a C> {
-    let fresh: Vec<&C> = candidates
-        .iter()
-        .filter(|c| !tried.contains(&c.as_ref().key))
-        .collect();
-    let ready: Vec<&C> = fresh
-        .iter()
-        .copied()
-        .filter(|c| !c.as_ref().is_avoided(now_ms))
-        .collect();
+    let fresh: Vec<&C> = candidates.iter().filter(|c| !tried.contains(&c.as_ref().key)).collect();
+    let ready: Vec<&C> = fresh.iter().copied().filter(|c| !c.as_ref().is_avoided(now_ms)).collect();
     let near: Vec<&C> = ready
         .iter()
         .copied()
         .filter(|c| c.as_ref().zone == *zone && c.as_ref().load() < SPILL_LOAD)
         .collect();
-    let pool = [near, ready, fresh]
-        .into_iter()
-        .find(|pool| !pool.is_empty())?;
+    let pool = [near, ready, fresh].into_iter().find(|pool| !pool.is_empty())?;
     let first = pool[rng.random_range(0..pool.len())];
     let second = pool[rng.random_range(0..pool.len())];
     match first.as_ref().load() <= second.as_ref().load() {
--- a/crates/traffic/src/lease.rs
+++ b/crates/traffic/src/lease.rs
@@ -39,10 +39,7 @@
 
     /// Ends the leases that have run out and returns their targets.
     pub fn expire(&mut self, now_ms: u64) -> Vec<TargetKey> {
-        let expired = self
-            .held
-            .iter()
-            .filter(|(_, lease)| lease.until_ms <= now_ms);
+        let expired = self.held.iter().filter(|(_, lease)| lease.until_ms <= now_ms);
         let keys: Vec<TargetKey> = expired.map(|(key, _)| key.clone()).collect();
         for key in &keys {
             self.held.remove(key);
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -19,9 +19,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            thousandths: AtomicI64::new(MOST),
-        }
+        Self { thousandths: AtomicI64::new(MOST) }
     }
 }
 
--- a/crates/traffic/src/router.rs
+++ b/crates/traffic/src/router.rs
@@ -37,17 +37,12 @@
     pub fn new(document: &Document) -> Self {
         let mut hosts: HashMap<SmolStr, Vec<RouteMatch>> = HashMap::new();
         for (key, stored) in document.iter() {
-            let Resource::Route(route) = &stored.resource else {
-                continue;
-            };
+            let Resource::Route(route) = &stored.resource else { continue };
             let entry = RouteMatch {
                 name: key.name.clone(),
                 prefix: route.prefix.clone(),
                 service: route.service.clone(),
-                rank: route
-                    .priority
-                    .as_ref()
-                    .map_or(DEFAULT_RANK, |name| rank(document, name)),
+                rank: route.priority.as_ref().map_or(DEFAULT_RANK, |name| rank(document, name)),
                 timeout: route.timeout,
             };
             hosts.entry(route.host.clone()).or_default().push(entry);
@@ -62,10 +57,7 @@
     ///
     /// `host` is in lower case and without port. A prefix ends at a `/` or at the end of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&RouteMatch> {
-        self.hosts
-            .get(host)?
-            .iter()
-            .find(|route| has_prefix(path, &route.prefix))
+        self.hosts.get(host)?.iter().find(|route| has_prefix(path, &route.prefix))
     }
 }
 
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -73,11 +73,7 @@
         }
         self.position += 1;
         self.order.insert(self.position, key.clone());
-        let held = Held {
-            target,
-            position: self.position,
-            changed_ms: now_ms,
-        };
+        let held = Held { target, position: self.position, changed_ms: now_ms };
         self.held.insert(key, held);
         Merge::Changed
     }
@@ -90,8 +86,7 @@
     /// Returns the targets changed after `position`, oldest change first.
     pub fn since(&self, position: u64) -> impl Iterator<Item = &Target> {
         let keys = self.order.range(position + 1..).map(|(_, key)| key);
-        keys.filter_map(|key| self.held.get(key))
-            .map(|held| &held.target)
+        keys.filter_map(|key| self.held.get(key)).map(|held| &held.target)
     }
 
     /// Returns one target.
