--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -220,14 +220,14 @@
         faults.push(ResultCode::PatchWrongType, path, "the resource is not a JSON object");
         return None;
     };
-    check_fields::<T>(
+    let sound = check_fields::<T>(
         path,
         object,
         ResultCode::PatchUnknownField,
         ResultCode::PatchWrongType,
         faults,
     );
-    serde_json::from_value(value.clone()).ok()
+    serde_json::from_value(Value::Object(sound)).ok()
 }
 
 /// Parses a required text field.
@@ -237,8 +237,7 @@
     T::Err: fmt::Display,
 {
     let Some(text) = text else {
-        let detail = format!("the field {field:?} is required");
-        faults.push(ResultCode::PatchMissingField, format!("{path}/{field}"), detail);
+        report_missing(path, field, faults);
         return None;
     };
     match text.parse() {
@@ -250,6 +249,15 @@
     }
 }
 
+/// Reports a missing field, unless it is there with another fault.
+fn report_missing(path: &str, field: &str, faults: &mut Faults) {
+    let path = format!("{path}/{field}");
+    if !faults.has(&path) {
+        let detail = format!("the field {field:?} is required");
+        faults.push(ResultCode::PatchMissingField, path, detail);
+    }
+}
+
 /// Checks that a number lies within `min..=max`, filling in a default.
 fn number<T>(path: &str, value: Option<T>, default: T, min: T, max: T, faults: &mut Faults) -> T
 where
@@ -289,7 +297,9 @@
 fn parse_route(path: &str, value: &Value, faults: &mut Faults) -> Option<RouteSpec> {
     let wire: wire::Route = read(path, value, faults)?;
     let host = wire.host.unwrap_or_default().to_ascii_lowercase();
-    if host.is_empty() || host.len() > MAX_TEXT || host.contains(['/', ' ', ':']) {
+    if host.is_empty() {
+        report_missing(path, "host", faults);
+    } else if host.len() > MAX_TEXT || host.contains(['/', ' ', ':']) {
         let detail = "name a host without port, such as lessons.example";
         faults.push(ResultCode::PatchBadValue, format!("{path}/host"), detail);
     }
@@ -313,10 +323,9 @@
 
 fn parse_priority(path: &str, value: &Value, faults: &mut Faults) -> Option<Rank> {
     let wire: wire::Priority = read(path, value, faults)?;
-    let path = format!("{path}/rank");
-    let rank = number(&path, wire.rank, 0, 0, u32::from(u8::MAX), faults);
+    let rank = number(&format!("{path}/rank"), wire.rank, 0, 0, u32::from(u8::MAX), faults);
     if wire.rank.is_none() {
-        faults.push(ResultCode::PatchMissingField, path, "the field \"rank\" is required");
+        report_missing(path, "rank", faults);
     }
     u8::try_from(rank).ok().map(Rank::new)
 }
@@ -350,7 +359,11 @@
     match wire.state.as_deref() {
         Some("in") => Some(ZoneState::In),
         Some("out") => Some(ZoneState::Out),
-        _ => {
+        None => {
+            report_missing(path, "state", faults);
+            None
+        }
+        Some(_) => {
             let detail = "the state of an availability zone is \"in\" or \"out\"";
             faults.push(ResultCode::PatchBadValue, format!("{path}/state"), detail);
             None
--- /dev/null
+++ b/crates/config/tests/feed_updates.rs
@@ -0,0 +1,285 @@
+//! Updates between copies of the document, under loss, repetition, crossing and restarts.
+
+use std::collections::BTreeSet;
+
+use kingcuplift_config::{
+    Applied, Catalog, Feed, Outcome, Submission, Subscription, UpdateError, decode_update,
+    encode_update,
+};
+use kingcuplift_core::{ServiceName, Version};
+use kingcuplift_schema::control::{Update, UpdateFrame};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Seed of the random schedules.
+const SEED: u64 = 20_261_204;
+/// Receivers of one schedule.
+const RECEIVERS: usize = 3;
+
+/// A copy of the document, with what its sender knows of it.
+#[derive(Debug)]
+struct Receiver {
+    feed: Feed,
+    subscription: Subscription,
+    /// Version that the sender believes to be there.
+    sent: Option<Version>,
+    in_flight: Vec<UpdateFrame>,
+    needs_full: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit(Value),
+    Send(usize),
+    Deliver(usize, usize),
+    Repeat(usize, usize),
+    Lose(usize, usize),
+    Restart(usize),
+    Reconnect(usize),
+}
+
+fn service(number: u8) -> String {
+    format!("s{number}")
+}
+
+fn patch() -> impl Strategy<Value = Value> {
+    let change = prop_oneof![
+        3 => (0..4_u8, 1..50_u8).prop_map(|(n, slots)| {
+            json!({ "services": { service(n): { "slots": slots } } })
+        }),
+        4 => (0..6_u8, 0..4_u8, 0..3_u8).prop_map(|(r, s, p)| json!({
+            "routes": { format!("r{r}"): {
+                "host": format!("h{r}"), "service": service(s), "priority": format!("p{p}"),
+            } }
+        })),
+        2 => (0..6_u8).prop_map(|r| json!({ "routes": { format!("r{r}"): null } })),
+        2 => (0..3_u8, 0..9_u8).prop_map(|(p, rank)| json!({
+            "priorities": { format!("p{p}"): { "rank": rank } }
+        })),
+        1 => (0..4_u8).prop_map(|n| json!({ "services": { service(n): null } })),
+        1 => (0..3_u8).prop_map(|p| json!({ "priorities": { format!("p{p}"): null } })),
+        1 => (0..2_u8, any::<bool>()).prop_map(|(z, out)| json!({
+            "zones": { format!("z{z}"): { "state": if out { "out" } else { "in" } } }
+        })),
+        1 => (0..4_u8, 1..100_u8).prop_map(|(n, share)| json!({
+            "moves": { format!("m{n}"): {
+                "service": service(n), "from": "v1", "to": "v2", "share": share,
+                "deadline": "2026-12-04T18:00:00Z",
+            } }
+        })),
+    ];
+    change
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let receiver = 0..RECEIVERS;
+    let step = prop_oneof![
+        6 => patch().prop_map(Step::Submit),
+        6 => receiver.clone().prop_map(Step::Send),
+        8 => (receiver.clone(), any::<usize>()).prop_map(|(r, at)| Step::Deliver(r, at)),
+        2 => (receiver.clone(), any::<usize>()).prop_map(|(r, at)| Step::Repeat(r, at)),
+        2 => (receiver.clone(), any::<usize>()).prop_map(|(r, at)| Step::Lose(r, at)),
+        1 => receiver.clone().prop_map(Step::Restart),
+        1 => receiver.prop_map(Step::Reconnect),
+    ];
+    prop::collection::vec(step, 1..150)
+}
+
+fn submit(catalog: &mut Catalog, number: usize, patch: &Value) -> Outcome {
+    catalog.apply(&Submission {
+        operation: format!("op-{number}"),
+        at_head: true,
+        patch: patch.to_string(),
+        ..Submission::default()
+    })
+}
+
+impl Receiver {
+    fn new(subscription: Subscription) -> Self {
+        let feed = Feed::default();
+        Self { feed, subscription, sent: None, in_flight: Vec::new(), needs_full: false }
+    }
+
+    /// Sends what the receiver lacks, as the sender believes.
+    fn send(&mut self, source: &Feed) {
+        let update = match self.sent {
+            _ if self.needs_full => source.full_update(&self.subscription),
+            Some(version) => source.update_since(version, &self.subscription),
+            None => source.full_update(&self.subscription),
+        };
+        self.needs_full = false;
+        self.sent = Some(source.head());
+        self.in_flight.push(encode_update(&update));
+    }
+
+    fn deliver(&mut self, at: usize, repeat: bool, source: &Feed) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let at = at % self.in_flight.len();
+        let frame = match repeat {
+            true => self.in_flight[at].clone(),
+            false => self.in_flight.remove(at),
+        };
+        let update = decode_update(&frame).expect("the frame is sound");
+        let before = (self.feed.head(), self.feed.document().digest());
+        match self.feed.apply(&update, &self.subscription) {
+            Ok(Applied::InForce) => assert_eq!(self.feed.head(), Version::new(update.version)),
+            Ok(Applied::Stale) => {
+                assert_eq!(before, (self.feed.head(), self.feed.document().digest()));
+            }
+            Err(_) => {
+                assert_eq!(before, (self.feed.head(), self.feed.document().digest()));
+                self.needs_full = true;
+            }
+        }
+        assert!(self.feed.head() >= before.0, "the version never falls");
+        assert!(self.feed.head() <= source.head());
+        check_closed(&self.feed);
+    }
+}
+
+/// Checks that no resource refers to one that is missing.
+fn check_closed(feed: &Feed) {
+    for (key, stored) in feed.document().iter() {
+        for target in stored.resource.references() {
+            assert!(feed.document().contains(&target), "{key} refers to {target}");
+        }
+    }
+}
+
+/// Returns the resources that a subscription covers, found by brute force.
+fn closure(source: &Feed, subscription: &Subscription) -> BTreeSet<(String, String)> {
+    let all: Vec<(String, Value)> = source
+        .document()
+        .iter()
+        .map(|(key, stored)| (key.to_string(), serde_json::from_str(&stored.json).expect("JSON")))
+        .collect();
+    let Subscription::Services(services) = subscription else {
+        return all.into_iter().map(|(key, value)| (key, value.to_string())).collect();
+    };
+    let named =
+        |value: &Value| services.iter().any(|service| value.as_str() == Some(service.as_str()));
+    let routes =
+        all.iter().filter(|(key, value)| key.starts_with("routes") && named(&value["service"]));
+    let used: Vec<String> = routes
+        .filter_map(|(_, v)| Some(format!("priorities/{}", v["priority"].as_str()?)))
+        .collect();
+    let covered = |key: &String, value: &Value| match key.split_once('/') {
+        Some(("zones", _)) => true,
+        Some(("services", name)) => services.iter().any(|service| service.as_str() == name),
+        Some(("priorities", _)) => used.contains(key),
+        _ => named(&value["service"]),
+    };
+    let kept = all.into_iter().filter(|(key, value)| covered(key, value));
+    kept.map(|(key, value)| (key, value.to_string())).collect()
+}
+
+fn held(feed: &Feed) -> BTreeSet<(String, String)> {
+    feed.document().iter().map(|(key, stored)| (key.to_string(), stored.json.to_string())).collect()
+}
+
+fn subscription(names: &[u8]) -> Subscription {
+    let services = names.iter().map(|n| service(*n).parse::<ServiceName>().expect("a name"));
+    Subscription::new(services)
+}
+
+fn run(steps: &[Step], subscriptions: &[Vec<u8>]) {
+    let mut catalog = Catalog::default();
+    let mut receivers: Vec<Receiver> =
+        subscriptions.iter().map(|names| Receiver::new(subscription(names))).collect();
+    for (number, step) in steps.iter().enumerate() {
+        match step {
+            Step::Submit(patch) => drop(submit(&mut catalog, number, patch)),
+            Step::Send(r) => receivers[*r].send(catalog.feed()),
+            Step::Deliver(r, at) => receivers[*r].deliver(*at, false, catalog.feed()),
+            Step::Repeat(r, at) => receivers[*r].deliver(*at, true, catalog.feed()),
+            Step::Lose(r, at) => {
+                let in_flight = &mut receivers[*r].in_flight;
+                if !in_flight.is_empty() {
+                    in_flight.remove(at % in_flight.len());
+                }
+            }
+            Step::Restart(r) => {
+                receivers[*r].feed = Feed::default();
+                receivers[*r].sent = None;
+                receivers[*r].in_flight.clear();
+            }
+            Step::Reconnect(r) => {
+                receivers[*r].sent = Some(receivers[*r].feed.head()).filter(|v| v.get() > 0);
+                receivers[*r].in_flight.clear();
+            }
+        }
+    }
+    for receiver in &mut receivers {
+        receiver.in_flight.clear();
+        receiver.sent = Some(receiver.feed.head()).filter(|version| version.get() > 0);
+        for _ in 0..2 {
+            receiver.send(catalog.feed());
+            receiver.deliver(0, false, catalog.feed());
+        }
+        let expected = closure(catalog.feed(), &receiver.subscription);
+        assert_eq!(held(&receiver.feed), expected, "never more, never less");
+        let digest = catalog.feed().digest(&receiver.subscription);
+        assert_eq!(receiver.feed.document().digest(), digest);
+        assert_eq!(receiver.feed.head(), catalog.head());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn copies_converge(
+        steps in steps(),
+        subscriptions in prop::collection::vec(prop::collection::vec(0..4_u8, 0..3), RECEIVERS),
+    ) {
+        run(&steps, &subscriptions);
+    }
+
+    /// A damaged update is refused whole: nothing of it stays.
+    #[test]
+    fn damaged_update_is_refused(drop_at in any::<usize>(), byte in any::<usize>()) {
+        let mut catalog = Catalog::default();
+        submit(&mut catalog, 1, &json!({
+            "services": { "s0": {}, "s1": {} },
+            "routes": { "r0": { "host": "h", "service": "s0" }, "r1": { "host": "i", "service": "s1" } },
+        }));
+        let mut update = catalog.feed().full_update(&Subscription::All);
+        let at = drop_at % update.changes.len();
+        match byte % 2 {
+            0 => drop(update.changes.remove(at)),
+            _ => update.changes[at].json = Some(json!({ "slots": 7 }).to_string()),
+        }
+        let mut feed = Feed::default();
+        prop_assert!(feed.apply(&update, &Subscription::All).is_err());
+        prop_assert_eq!(feed.head(), Version::default());
+        prop_assert!(feed.document().is_empty());
+    }
+}
+
+#[rstest]
+#[case::older(4, Applied::Stale)]
+#[case::same(5, Applied::InForce)]
+fn full_update_never_goes_back(#[case] version: u64, #[case] expected: Applied) {
+    let mut feed = Feed::restore(Version::new(5), []);
+    let digest = feed.digest(&Subscription::All).to_bytes().to_vec();
+    let update = Update { version, digest, full: true, ..Update::default() };
+    assert_eq!(feed.apply(&update, &Subscription::All).expect("the update is sound"), expected);
+    assert_eq!(feed.head(), Version::new(5));
+}
+
+#[test]
+fn gap_is_reported() {
+    let mut feed = Feed::restore(Version::new(2), []);
+    let update = Update { base: 4, version: 5, ..Update::default() };
+    let outcome = feed.apply(&update, &Subscription::All);
+    assert!(matches!(outcome, Err(UpdateError::Gap { .. })));
+}
--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -43,6 +43,11 @@
         self.0.push(Fault::new(code, path, detail));
     }
 
+    /// Returns whether a fault was found at `path`.
+    pub fn has(&self, path: &str) -> bool {
+        self.0.iter().any(|fault| fault.path == path)
+    }
+
     /// Returns whether no fault was found.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
@@ -69,17 +74,21 @@
 /// Deserialises each field of `object` by itself into `T`, so that every fault is found.
 ///
 /// `T` must accept an object with any subset of its fields and refuse unknown ones. Unknown fields are
-/// reported with `unknown`, fields of the wrong type with `wrong`.
+/// reported with `unknown`, fields of the wrong type with `wrong`. Returns the fields without fault.
 pub fn check_fields<T: DeserializeOwned>(
     path: &str,
     object: &Map<String, Value>,
     unknown: ResultCode,
     wrong: ResultCode,
     faults: &mut Faults,
-) {
+) -> Map<String, Value> {
+    let mut sound = Map::new();
     for (name, value) in object {
         let single = Value::Object(Map::from_iter([(name.clone(), value.clone())]));
-        let Err(error) = serde_json::from_value::<T>(single) else { continue };
+        let Err(error) = serde_json::from_value::<T>(single) else {
+            sound.insert(name.clone(), value.clone());
+            continue;
+        };
         let detail = error.to_string();
         let code = match detail.starts_with("unknown field") {
             true => unknown,
@@ -87,4 +96,5 @@
         };
         faults.push(code, format!("{path}/{name}"), detail);
     }
+    sound
 }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -151,10 +151,9 @@
                 return Err(checker.faults);
             }
         };
-        checker.check_shape(&object);
-        let Ok(wire) = serde_json::from_value::<wire::Settings>(Value::Object(object)) else {
-            return Err(checker.faults);
-        };
+        let sound = checker.check_shape(&object);
+        let wire = serde_json::from_value::<wire::Settings>(Value::Object(sound));
+        let wire = wire.unwrap_or_default();
         let options = checker.options(wire);
         match (checker.faults.is_empty(), options) {
             (true, Some(options)) => Ok(options),
@@ -174,31 +173,41 @@
         self.faults.push(code, path, detail);
     }
 
-    /// Finds unknown fields and wrong types, section by section.
-    fn check_shape(&mut self, object: &Map<String, Value>) {
-        let sections = ["log", "keys", "source", "relay", "node"];
-        let top: Map<String, Value> = object
-            .iter()
-            .filter(|(name, value)| !(sections.contains(&name.as_str()) && value.is_object()))
-            .map(|(name, value)| (name.clone(), value.clone()))
-            .collect();
-        self.check_section::<wire::Settings>("", &top);
-        self.check_part::<wire::LogSettings>(object, "log");
-        self.check_part::<wire::KeySettings>(object, "keys");
-        self.check_part::<wire::SourceSettings>(object, "source");
-        self.check_part::<wire::RelaySettings>(object, "relay");
-        self.check_part::<wire::NodeSettings>(object, "node");
-    }
-
-    fn check_part<T: DeserializeOwned>(&mut self, object: &Map<String, Value>, name: &str) {
-        if let Some(Value::Object(part)) = object.get(name) {
-            self.check_section::<T>(&format!("/{name}"), part);
+    /// Finds unknown fields and wrong types, section by section, and returns the rest.
+    fn check_shape(&mut self, object: &Map<String, Value>) -> Map<String, Value> {
+        let mut top = Map::new();
+        let mut sections = Map::new();
+        for (name, value) in object {
+            let Value::Object(part) = value else {
+                top.insert(name.clone(), value.clone());
+                continue;
+            };
+            let path = format!("/{name}");
+            let sound = match name.as_str() {
+                "log" => self.check_section::<wire::LogSettings>(&path, part),
+                "keys" => self.check_section::<wire::KeySettings>(&path, part),
+                "source" => self.check_section::<wire::SourceSettings>(&path, part),
+                "relay" => self.check_section::<wire::RelaySettings>(&path, part),
+                "node" => self.check_section::<wire::NodeSettings>(&path, part),
+                _ => {
+                    top.insert(name.clone(), value.clone());
+                    continue;
+                }
+            };
+            sections.insert(name.clone(), Value::Object(sound));
         }
+        let mut sound = self.check_section::<wire::Settings>("", &top);
+        sound.append(&mut sections);
+        sound
     }
 
-    fn check_section<T: DeserializeOwned>(&mut self, path: &str, part: &Map<String, Value>) {
+    fn check_section<T: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        part: &Map<String, Value>,
+    ) -> Map<String, Value> {
         let (unknown, wrong) = (ResultCode::SettingsUnknownField, ResultCode::SettingsWrongType);
-        check_fields::<T>(path, part, unknown, wrong, &mut self.faults);
+        check_fields::<T>(path, part, unknown, wrong, &mut self.faults)
     }
 
     fn options(&mut self, wire: wire::Settings) -> Option<Options> {
@@ -389,7 +398,10 @@
         T::Err: Display,
     {
         let Some(text) = text else {
-            self.bad(ResultCode::SettingsMissingField, path, "the field is required");
+            // A field of the wrong type is reported as such, not as missing.
+            if !self.faults.has(path) {
+                self.bad(ResultCode::SettingsMissingField, path, "the field is required");
+            }
             return None;
         };
         match text.parse() {
--- a/crates/daemon/tests/settings_check.rs
+++ b/crates/daemon/tests/settings_check.rs
@@ -35,7 +35,16 @@
     let output = check(text);
     assert_eq!(output.status.code(), Some(2));
     let errors = String::from_utf8_lossy(&output.stderr).into_owned();
-    for part in ["/colour", "1002", "/relay/speed", "/relay/http", "1003"] {
+    for part in [
+        "/colour",
+        "1002",
+        "/relay/speed",
+        "/relay/http",
+        "1003",
+        "/roles/1",
+        "/relay/listen",
+        "/name",
+    ] {
         assert!(errors.contains(part), "{part} is missing: {errors}");
     }
 }
--- a/crates/quorum/tests/consensus_model.rs
+++ b/crates/quorum/tests/consensus_model.rs
@@ -1,19 +1,16 @@
 //! Random schedules of faults on the real state machine and the real storage code.
 
-#[path = "support/cluster.rs"]
-mod cluster;
-#[path = "support/disk.rs"]
-mod disk;
-
+use kingcuplift_core::MemberId;
+use kingcuplift_quorum::Members;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use cluster::{Cluster, id};
+use kingcuplift_testing::{Cluster, member_id as id};
 
 /// Seed of the schedules.
 const SEED: u64 = 20_261_204;
 /// Schedules for each size of the group.
-const CASES: u32 = 200;
+const CASES: u32 = 500;
 
 /// One step of a schedule; numbers are taken modulo what is there.
 #[derive(Debug, Clone)]
@@ -33,11 +30,39 @@
     Snapshot(u64),
     Transfer(u64),
     Round,
+    Change(Change, u64),
+}
+
+/// One change of the membership.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    AddLearner,
+    Promote,
+    RemoveVoter,
+    RemoveLearner,
+}
+
+fn changes() -> impl Strategy<Value = Step> {
+    let change = prop_oneof![
+        3 => Just(Change::AddLearner),
+        3 => Just(Change::Promote),
+        2 => Just(Change::RemoveVoter),
+        1 => Just(Change::RemoveLearner),
+    ];
+    (change, 0..5_u64).prop_map(|(change, member)| Step::Change(change, member))
+}
+
+fn steps_with_changes() -> impl Strategy<Value = Vec<Step>> {
+    prop::collection::vec(prop_oneof![10 => step(), 1 => changes()], 100..400)
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
+    prop::collection::vec(step(), 100..400)
+}
+
+fn step() -> impl Strategy<Value = Step> {
     let member = 0..5_u64;
-    let step = prop_oneof![
+    prop_oneof![
         6 => (1..120_u64).prop_map(Step::Advance),
         20 => any::<usize>().prop_map(Step::Deliver),
         2 => any::<usize>().prop_map(Step::Repeat),
@@ -53,8 +78,7 @@
         1 => member.clone().prop_map(Step::Snapshot),
         1 => member.prop_map(Step::Transfer),
         10 => Just(Step::Round),
-    ];
-    prop::collection::vec(step, 100..400)
+    ]
 }
 
 fn run(cluster: &mut Cluster, size: u64, steps: &[Step]) {
@@ -79,10 +103,35 @@
             Step::Snapshot(number) => cluster.snapshot(member(number)),
             Step::Transfer(number) => cluster.transfer(member(number)),
             Step::Round => round(cluster),
+            Step::Change(kind, number) => change(cluster, *kind, member(number)),
         }
     }
 }
 
+/// Proposes a change of the membership at the leader; the leader may refuse it.
+fn change(cluster: &mut Cluster, kind: Change, member: MemberId) {
+    let Some(leader) = cluster.leader() else { return };
+    let voter = cluster.voter(member);
+    let Some(replica) = cluster.replica(leader) else { return };
+    let mut next = replica.membership().clone();
+    let learner = next.learners.iter().position(|held| held.id == member.get());
+    match (kind, learner) {
+        (Change::AddLearner, None) if !next.is_voter(member) && voter.disk != 0 => {
+            next.learners.push(voter);
+        }
+        (Change::Promote, Some(at)) => {
+            let promoted = next.learners.remove(at);
+            next.voters.push(promoted);
+        }
+        (Change::RemoveVoter, _) if next.voters.len() > 2 => {
+            next.voters.retain(|held| held.id != member.get());
+        }
+        (Change::RemoveLearner, Some(at)) => drop(next.learners.remove(at)),
+        _ => return,
+    }
+    cluster.change(leader, next);
+}
+
 /// Lets everything in flight arrive and every write finish.
 fn round(cluster: &mut Cluster) {
     for id in cluster.ids() {
@@ -121,6 +170,13 @@
         cluster.finish();
     }
 
+    #[test]
+    fn changing_members(seed in any::<u64>(), steps in steps_with_changes()) {
+        let mut cluster = Cluster::formed(3, 2, seed);
+        run(&mut cluster, 5, &steps);
+        cluster.finish();
+    }
+
     #[test]
     fn one_member(seed in any::<u64>(), steps in steps()) {
         let mut cluster = Cluster::formed(1, 0, seed);
--- a/crates/quorum/tests/fault_matrix.rs
+++ b/crates/quorum/tests/fault_matrix.rs
@@ -1,16 +1,11 @@
 //! Every fault at every step of the replicated log.
 
-#[path = "support/cluster.rs"]
-mod cluster;
-#[path = "support/disk.rs"]
-mod disk;
-
 use kingcuplift_core::MemberId;
 use kingcuplift_schema::quorum::Membership;
 use rstest::rstest;
 
-use cluster::{Cluster, id};
-use disk::DiskFault;
+use kingcuplift_testing::DiskFault;
+use kingcuplift_testing::{Cluster, member_id as id};
 
 /// Seed of the group's random numbers.
 const SEED: u64 = 7;
--- a/crates/quorum/tests/support/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -9,10 +9,10 @@
 };
 use kingcuplift_schema::quorum::{Entry, Membership, Peer, Snapshot, Voter, entry, peer};
 
-use crate::disk::FakeDisk;
+use crate::disk::{DiskFault, FakeDisk};
 
 /// Time without a leader after which an election may begin.
-pub(crate) const ELECTION: Millis = 300;
+pub const ELECTION: Millis = 300;
 /// Time between heartbeats.
 const HEARTBEAT: Millis = 60;
 /// Clock rates of the members, in thousandths; they stay within the stated drift.
@@ -50,7 +50,7 @@
 
 /// The whole group.
 #[derive(Debug)]
-pub(crate) struct Cluster {
+pub struct Cluster {
     members: BTreeMap<MemberId, Member>,
     initial: Vec<MemberId>,
     network: Vec<(MemberId, MemberId, Box<Peer>)>,
@@ -61,24 +61,24 @@
     disks: u64,
     proposed: BTreeMap<Token, Vec<u8>>,
     /// Commands that were answered, with their index.
-    pub(crate) acknowledged: BTreeMap<u64, Vec<u8>>,
+    pub acknowledged: BTreeMap<u64, Vec<u8>>,
     /// Entry that was applied first at each index.
     history: BTreeMap<u64, Entry>,
     leaders: BTreeMap<u64, MemberId>,
     /// Membership proposals that were answered.
-    pub(crate) changed: BTreeSet<Token>,
+    pub changed: BTreeSet<Token>,
     /// Proposals that were refused.
-    pub(crate) refused: BTreeSet<Token>,
+    pub refused: BTreeSet<Token>,
 }
 
 /// Makes the number of a member.
-pub(crate) fn id(number: u64) -> MemberId {
+pub fn member_id(number: u64) -> MemberId {
     MemberId::new(number)
 }
 
 impl Cluster {
     /// Makes members with empty disks; `size` of them are the initial ones.
-    pub(crate) fn new(size: u64, spare: u64, seed: u64) -> Self {
+    pub fn new(size: u64, spare: u64, seed: u64) -> Self {
         let mut cluster = Self {
             members: BTreeMap::new(),
             initial: (1..=size).map(MemberId::new).collect(),
@@ -97,7 +97,7 @@
         };
         for number in 1..=size + spare {
             let member = Member {
-                id: id(number),
+                id: member_id(number),
                 stage: Stage::Down,
                 store: None,
                 disk: Some(FakeDisk::default()),
@@ -107,14 +107,14 @@
                 is_frozen: false,
                 offset: number * 7,
             };
-            cluster.members.insert(id(number), member);
-            cluster.restart(id(number));
+            cluster.members.insert(member_id(number), member);
+            cluster.restart(member_id(number));
         }
         cluster
     }
 
     /// Makes a group that has a leader.
-    pub(crate) fn formed(size: u64, spare: u64, seed: u64) -> Self {
+    pub fn formed(size: u64, spare: u64, seed: u64) -> Self {
         let mut cluster = Self::new(size, spare, seed);
         cluster.settle();
         assert!(cluster.leader().is_some(), "a leader is elected");
@@ -122,12 +122,12 @@
     }
 
     /// Returns the numbers of all members.
-    pub(crate) fn ids(&self) -> Vec<MemberId> {
+    pub fn ids(&self) -> Vec<MemberId> {
         self.members.keys().copied().collect()
     }
 
     /// Returns the leader with the highest term.
-    pub(crate) fn leader(&self) -> Option<MemberId> {
+    pub fn leader(&self) -> Option<MemberId> {
         let leaders = self.members.values().filter_map(|member| match &member.stage {
             Stage::Up(replica) if replica.role() == RoleName::Leader => {
                 Some((replica.term(), member.id))
@@ -138,7 +138,7 @@
     }
 
     /// Returns the state machine of a running member.
-    pub(crate) fn replica(&self, id: MemberId) -> Option<&Replica> {
+    pub fn replica(&self, id: MemberId) -> Option<&Replica> {
         match &self.members[&id].stage {
             Stage::Up(replica) => Some(replica),
             Stage::Down | Stage::Forming(_) => None,
@@ -146,7 +146,7 @@
     }
 
     /// Returns the disk of a member, whether it runs or not.
-    pub(crate) fn disk(&mut self, id: MemberId) -> FakeDisk {
+    pub fn disk(&mut self, id: MemberId) -> FakeDisk {
         let member = &self.members[&id];
         match (&member.disk, &member.store) {
             (Some(disk), _) => disk.clone(),
@@ -156,14 +156,14 @@
     }
 
     /// Replaces the disk of a member that is down.
-    pub(crate) fn set_disk(&mut self, id: MemberId, disk: FakeDisk) {
+    pub fn set_disk(&mut self, id: MemberId, disk: FakeDisk) {
         let member = self.members.get_mut(&id).expect("the member exists");
         assert!(matches!(member.stage, Stage::Down));
         member.disk = Some(disk);
     }
 
     /// Lets the disk of a member fail from now on.
-    pub(crate) fn fail_disk(&mut self, id: MemberId, fault: crate::disk::DiskFault) {
+    pub fn fail_disk(&mut self, id: MemberId, fault: DiskFault) {
         let member = self.members.get_mut(&id).expect("the member exists");
         let Some(store) = member.store.take() else { return };
         let mut disk = store.into_folder();
@@ -177,7 +177,7 @@
     }
 
     /// Kills a member; `kept` chooses how much of its unsynced writes stays.
-    pub(crate) fn crash(&mut self, id: MemberId, kept: usize) {
+    pub fn crash(&mut self, id: MemberId, kept: usize) {
         let member = self.members.get_mut(&id).expect("the member exists");
         if let Some(store) = member.store.take() {
             let mut disk = store.into_folder();
@@ -192,13 +192,13 @@
     }
 
     /// Empties the disk of a member that is down.
-    pub(crate) fn wipe(&mut self, id: MemberId) {
+    pub fn wipe(&mut self, id: MemberId) {
         self.crash(id, 0);
         self.set_disk(id, FakeDisk::default());
     }
 
     /// Starts a member that is down; returns false when its disk is refused.
-    pub(crate) fn restart(&mut self, id: MemberId) -> bool {
+    pub fn restart(&mut self, id: MemberId) -> bool {
         self.disks += 1;
         let fresh = self.disks;
         let member = self.members.get_mut(&id).expect("the member exists");
@@ -243,12 +243,12 @@
     }
 
     /// Stops a member from doing anything until it is thawed.
-    pub(crate) fn freeze(&mut self, id: MemberId, is_frozen: bool) {
+    pub fn freeze(&mut self, id: MemberId, is_frozen: bool) {
         self.members.get_mut(&id).expect("the member exists").is_frozen = is_frozen;
     }
 
     /// Cuts or restores the way from one member to another.
-    pub(crate) fn cut(&mut self, from: MemberId, to: MemberId, is_cut: bool) {
+    pub fn cut(&mut self, from: MemberId, to: MemberId, is_cut: bool) {
         match is_cut {
             true => drop(self.cuts.insert((from, to))),
             false => drop(self.cuts.remove(&(from, to))),
@@ -256,7 +256,7 @@
     }
 
     /// Cuts a member off in both directions, or restores it.
-    pub(crate) fn isolate(&mut self, id: MemberId, is_cut: bool) {
+    pub fn isolate(&mut self, id: MemberId, is_cut: bool) {
         for other in self.ids() {
             self.cut(id, other, is_cut);
             self.cut(other, id, is_cut);
@@ -264,7 +264,7 @@
     }
 
     /// Ends all cuts and freezes.
-    pub(crate) fn heal(&mut self) {
+    pub fn heal(&mut self) {
         self.cuts.clear();
         for id in self.ids() {
             self.freeze(id, false);
@@ -272,7 +272,7 @@
     }
 
     /// Lets time pass on every member that is not frozen.
-    pub(crate) fn advance(&mut self, millis: Millis) {
+    pub fn advance(&mut self, millis: Millis) {
         self.now += millis;
         for id in self.ids() {
             self.offer(id);
@@ -317,12 +317,12 @@
     }
 
     /// Returns the number of messages in flight.
-    pub(crate) fn in_flight(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.network.len()
     }
 
     /// Delivers a message, out of order; `copies` of it stay in flight.
-    pub(crate) fn deliver(&mut self, pick: usize, is_copied: bool) {
+    pub fn deliver(&mut self, pick: usize, is_copied: bool) {
         if self.network.is_empty() {
             return;
         }
@@ -337,7 +337,7 @@
     }
 
     /// Loses a message.
-    pub(crate) fn lose(&mut self, pick: usize) {
+    pub fn lose(&mut self, pick: usize) {
         if !self.network.is_empty() {
             let at = pick % self.network.len();
             self.network.remove(at);
@@ -382,7 +382,7 @@
     }
 
     /// Proposes a command at a member and returns its token.
-    pub(crate) fn propose(&mut self, id: MemberId, command: &[u8]) -> Token {
+    pub fn propose(&mut self, id: MemberId, command: &[u8]) -> Token {
         self.token += 1;
         let token = self.token;
         self.proposed.insert(token, command.to_vec());
@@ -391,7 +391,7 @@
     }
 
     /// Proposes a membership at a member and returns its token.
-    pub(crate) fn change(&mut self, id: MemberId, membership: Membership) -> Token {
+    pub fn change(&mut self, id: MemberId, membership: Membership) -> Token {
         self.token += 1;
         let token = self.token;
         self.input(id, Event::ChangeMembers { token, membership });
@@ -399,12 +399,12 @@
     }
 
     /// Asks a member to hand over leadership.
-    pub(crate) fn transfer(&mut self, id: MemberId) {
+    pub fn transfer(&mut self, id: MemberId) {
         self.input(id, Event::Transfer);
     }
 
     /// Returns the entry of a membership for a member as it is now.
-    pub(crate) fn voter(&mut self, number: MemberId) -> Voter {
+    pub fn voter(&mut self, number: MemberId) -> Voter {
         let disk = match &self.members[&number].stage {
             Stage::Forming(formation) => formation.offer().disk,
             Stage::Up(replica) => replica.identity().disk,
@@ -415,14 +415,14 @@
     }
 
     /// Takes a snapshot of what a member has applied.
-    pub(crate) fn snapshot(&mut self, id: MemberId) {
+    pub fn snapshot(&mut self, id: MemberId) {
         let member = &self.members[&id];
         let (index, state) = (member.applied_index, encode_state(&member.applied));
         self.input(id, Event::SnapshotTaken { index, state });
     }
 
     /// Writes and syncs what waits at a member; returns false when its disk failed.
-    pub(crate) fn sync(&mut self, id: MemberId) -> bool {
+    pub fn sync(&mut self, id: MemberId) -> bool {
         let member = self.members.get_mut(&id).expect("the member exists");
         if member.is_frozen {
             return true;
@@ -519,7 +519,7 @@
     }
 
     /// Lets the group work without faults for some time.
-    pub(crate) fn settle(&mut self) {
+    pub fn settle(&mut self) {
         for _ in 0..200 {
             self.advance(20);
             for id in self.ids() {
@@ -532,7 +532,7 @@
     }
 
     /// Heals everything, restarts all, and checks that nothing acknowledged is missing.
-    pub(crate) fn finish(&mut self) {
+    pub fn finish(&mut self) {
         self.heal();
         for id in self.ids() {
             if matches!(self.members[&id].stage, Stage::Down) {
@@ -575,7 +575,7 @@
     }
 
     /// Returns the commands that a member has applied.
-    pub(crate) fn applied(&self, id: MemberId) -> &[Vec<u8>] {
+    pub fn applied(&self, id: MemberId) -> &[Vec<u8>] {
         &self.members[&id].applied
     }
 }
--- a/crates/quorum/tests/support/disk.rs
+++ b/crates/testing/src/disk.rs
@@ -16,7 +16,7 @@
 
 /// How the folder fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum DiskFault {
+pub enum DiskFault {
     /// Every sync fails.
     Sync,
     /// Appending writes half of the bytes, then fails.
@@ -25,17 +25,18 @@
 
 /// A folder in memory.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct FakeDisk {
+pub struct FakeDisk {
     files: BTreeMap<FileId, File>,
     names: BTreeMap<String, FileId>,
     durable_names: BTreeMap<String, FileId>,
     next: FileId,
-    pub(crate) fault: Option<DiskFault>,
+    /// How the folder fails at present.
+    pub fault: Option<DiskFault>,
 }
 
 impl FakeDisk {
     /// Loses what was not synced; `kept` chooses how much of each unsynced write stays.
-    pub(crate) fn crash(&mut self, kept: usize) {
+    pub fn crash(&mut self, kept: usize) {
         self.names = self.durable_names.clone();
         self.fault = None;
         for file in self.files.values_mut() {
@@ -51,12 +52,12 @@
     }
 
     /// Returns the names of the files.
-    pub(crate) fn names(&self) -> Vec<String> {
+    pub fn names(&self) -> Vec<String> {
         self.names.keys().cloned().collect()
     }
 
     /// Changes one byte of a file.
-    pub(crate) fn damage(&mut self, name: &str, offset: usize) {
+    pub fn damage(&mut self, name: &str, offset: usize) {
         let id = self.names[name];
         let file = self.files.get_mut(&id).expect("a named file exists");
         let at = offset % file.data.len();
@@ -65,7 +66,7 @@
     }
 
     /// Returns the number of bytes of a file.
-    pub(crate) fn size(&self, name: &str) -> usize {
+    pub fn size(&self, name: &str) -> usize {
         self.files[&self.names[name]].data.len()
     }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,10 +1,15 @@
-//! Starts whole sites of real processes on loopback, for tests.
+//! Support for tests: whole sites of real processes, and groups of members on fake disks.
 //!
-//! A [`Site`] stops only the processes that it started.
+//! A [`Site`] stops only the processes that it started. A [`Cluster`] runs the real consensus state
+//! machine and the real storage code on fake disks and a fake network.
 
+mod cluster;
+mod disk;
 mod ports;
 mod process;
 mod site;
 
+pub use cluster::{Cluster, ELECTION, member_id};
+pub use disk::{DiskFault, FakeDisk};
 pub use process::binary;
 pub use site::{Reply, Site, SiteBuilder};
--- /dev/null
+++ b/crates/traffic/tests/admission_rules.rs
@@ -0,0 +1,196 @@
+//! Admission: slots, order, deadlines and cancellation under random loads.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use kingcuplift_core::{Rank, ResultCode};
+use kingcuplift_traffic::{Admission, CallId, Decision, Limits, Release};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Seed of the random loads.
+const SEED: u64 = 6;
+/// Releases after which the call that has waited longest goes first.
+const FAIRNESS_INTERVAL: usize = 16;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive { rank: u8, patience_us: u64 },
+    Finish { service_us: u64 },
+    Cancel(usize),
+    Pass(u64),
+    Limit(u32),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..4_u8, 1..5_000_u64)
+            .prop_map(|(rank, patience_us)| Step::Arrive { rank, patience_us }),
+        5 => (1..500_u64).prop_map(|service_us| Step::Finish { service_us }),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        3 => (1..800_u64).prop_map(Step::Pass),
+        1 => (1..6_u32).prop_map(Step::Limit),
+    ];
+    prop::collection::vec(step, 1..300)
+}
+
+/// What the test knows of a waiting call.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    rank: u8,
+    deadline: u64,
+}
+
+#[derive(Debug)]
+struct Load {
+    admission: Admission,
+    limits: Limits,
+    running: BTreeSet<CallId>,
+    waiting: BTreeMap<CallId, Waiting>,
+    releases: usize,
+    now: u64,
+}
+
+impl Load {
+    fn arrive(&mut self, id: CallId, rank: u8, patience_us: u64) {
+        let deadline = self.now + patience_us;
+        match self.admission.arrive(id, Rank::new(rank), deadline, self.now) {
+            Decision::Run => {
+                assert!(self.waiting.is_empty(), "nobody is overtaken by an arrival");
+                self.running.insert(id);
+            }
+            Decision::Wait { displaced } => {
+                if let Some(loser) = displaced {
+                    let lost = self.waiting.remove(&loser).expect("the displaced call waits");
+                    assert!(lost.rank > rank, "only a worse rank is displaced");
+                    let worst = self.waiting.values().map(|w| w.rank).max().unwrap_or(0);
+                    assert!(lost.rank >= worst, "the worst rank is displaced first");
+                }
+                self.waiting.insert(id, Waiting { rank, deadline });
+            }
+            Decision::Refuse(ResultCode::QueueFull) => {
+                assert!(self.waiting.len() >= self.limits.queue as usize);
+                assert!(self.waiting.values().all(|w| w.rank <= rank));
+            }
+            Decision::Refuse(code) => assert_eq!(code, ResultCode::DeadlineBefore),
+        }
+    }
+
+    fn released(&mut self, released: Vec<Release>) {
+        for release in released {
+            match release {
+                Release::Run(id) => {
+                    let call = self.waiting.remove(&id).expect("a released call waited");
+                    assert!(self.now < call.deadline, "a late call does not run");
+                    let oldest = self.releases % FAIRNESS_INTERVAL == FAIRNESS_INTERVAL - 1;
+                    let better = self.waiting.values().any(|w| w.rank < call.rank);
+                    assert!(oldest || !better, "rank goes first");
+                    self.releases += 1;
+                    self.running.insert(id);
+                }
+                Release::Expired(id) => {
+                    let call = self.waiting.remove(&id).expect("an expired call waited");
+                    assert!(self.now >= call.deadline, "a refusal for lateness is true");
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        assert_eq!(self.admission.running() as usize, self.running.len());
+        assert_eq!(self.admission.waiting(), self.waiting.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold(slots in 1..6_u32, queue in 0..8_u32, steps in steps()) {
+        let limits = Limits { slots, queue };
+        let mut load = Load {
+            admission: Admission::new(limits),
+            limits,
+            running: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            releases: 0,
+            now: 0,
+        };
+        for (id, step) in steps.iter().enumerate() {
+            match step {
+                Step::Arrive { rank, patience_us } => {
+                    load.arrive(id as CallId, *rank, *patience_us);
+                    let over = load.running.len() > load.limits.slots as usize;
+                    prop_assert!(!over || !load.running.contains(&(id as CallId)));
+                }
+                Step::Finish { service_us } => {
+                    if load.running.pop_first().is_some() {
+                        let released = load.admission.finish(*service_us, load.now);
+                        load.released(released);
+                    }
+                }
+                Step::Cancel(pick) => {
+                    let picked = load.waiting.keys().nth(pick % load.waiting.len().max(1)).copied();
+                    if let Some(id) = picked {
+                        prop_assert!(load.admission.cancel(id));
+                        prop_assert!(!load.admission.cancel(id));
+                        load.waiting.remove(&id);
+                    }
+                }
+                Step::Pass(micros) => load.now += micros,
+                Step::Limit(slots) => {
+                    load.limits.slots = *slots;
+                    load.admission.set_limits(load.limits);
+                    let released = load.admission.release(load.now);
+                    load.released(released);
+                }
+            }
+            load.check();
+        }
+        while load.running.pop_first().is_some() {
+            let released = load.admission.finish(1, load.now);
+            load.released(released);
+        }
+        prop_assert!(load.admission.is_idle(), "nothing leaks");
+    }
+}
+
+#[test]
+fn closed_gate_refuses() {
+    let mut admission = Admission::new(Limits { slots: 1, queue: 1 });
+    admission.close();
+    let decision = admission.arrive(1, Rank::FIRST, 10, 0);
+    assert_eq!(decision, Decision::Refuse(ResultCode::Draining));
+    admission.open();
+    assert_eq!(admission.arrive(2, Rank::FIRST, 10, 0), Decision::Run);
+}
+
+#[test]
+fn hopeless_call_is_refused() {
+    let mut admission = Admission::new(Limits { slots: 1, queue: 100 });
+    assert_eq!(admission.arrive(0, Rank::FIRST, 1_000_000, 0), Decision::Run);
+    assert!(admission.finish(1_000, 1_000).is_empty());
+    assert_eq!(admission.arrive(1, Rank::FIRST, 1_000_000, 1_000), Decision::Run);
+    for id in 2..12 {
+        let decision = admission.arrive(id, Rank::FIRST, 1_000_000, 1_000);
+        assert_eq!(decision, Decision::Wait { displaced: None });
+    }
+    let late = admission.arrive(12, Rank::FIRST, 1_000 + 5_000, 1_000);
+    assert_eq!(late, Decision::Refuse(ResultCode::DeadlineBefore), "ten calls of 1 ms are ahead");
+}
+
+#[test]
+fn low_rank_is_not_starved() {
+    let mut admission = Admission::new(Limits { slots: 1, queue: 100 });
+    assert_eq!(admission.arrive(0, Rank::FIRST, u64::MAX, 0), Decision::Run);
+    admission.arrive(1, Rank::LAST, u64::MAX, 0);
+    for id in 2..40 {
+        admission.arrive(id, Rank::FIRST, u64::MAX, 0);
+    }
+    let position = (0..39).position(|_| admission.finish(1, 1).contains(&Release::Run(1)));
+    assert!(position.is_some_and(|position| position < FAIRNESS_INTERVAL));
+}
