Repair the source: members added, removed, replaced; backup and restore

Cause: a lost VM could not be replaced, and the checks had gaps.

- Flaky in one run: a site whose ports another test had taken.
Cause: ports were found free and released before use.
Each site now has a loopback address of its own.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,5 +1,6 @@
 //! Arguments of the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -35,6 +36,117 @@
     Targets(Targets),
     Check(Check),
     Keys(Keys),
+    Member(Member),
+    Backup(Backup),
+    Restore(Restore),
+}
+
+/// List or change the members of the source.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "member")]
+pub(crate) struct Member {
+    #[argh(subcommand)]
+    pub(crate) verb: MemberVerb,
+}
+
+/// What to do with members.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum MemberVerb {
+    List(MemberList),
+    Add(MemberAdd),
+    Remove(MemberRemove),
+    Replace(MemberReplace),
+}
+
+/// List the members.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct MemberList {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Add a running member with an empty disk, wait until it has caught up, and give it a vote.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "add")]
+pub(crate) struct MemberAdd {
+    /// number of the member
+    #[argh(positional)]
+    pub(crate) id: u64,
+
+    /// address for members and relays
+    #[argh(option)]
+    pub(crate) listen: SocketAddr,
+
+    /// operators' interface of the member
+    #[argh(option)]
+    pub(crate) http: SocketAddr,
+}
+
+/// Remove a member.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "remove")]
+pub(crate) struct MemberRemove {
+    /// number of the member
+    #[argh(positional)]
+    pub(crate) id: u64,
+}
+
+/// Replace a lost member by a running one with an empty disk, in the order that keeps the quorum.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "replace")]
+pub(crate) struct MemberReplace {
+    /// number of the lost member
+    #[argh(positional)]
+    pub(crate) lost: u64,
+
+    /// number of the new member; may be that of the lost one
+    #[argh(option)]
+    pub(crate) with: u64,
+
+    /// address of the new member for members and relays
+    #[argh(option)]
+    pub(crate) listen: SocketAddr,
+
+    /// operators' interface of the new member
+    #[argh(option)]
+    pub(crate) http: SocketAddr,
+}
+
+/// Save the whole state of the source, while it runs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "backup")]
+pub(crate) struct Backup {
+    /// file to write
+    #[argh(option)]
+    pub(crate) out: PathBuf,
+}
+
+/// Make a data folder from a backup: a new group with one member, to which others are added.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "restore")]
+pub(crate) struct Restore {
+    /// backup file
+    #[argh(positional)]
+    pub(crate) backup: PathBuf,
+
+    /// data folder to make; must not hold a member's state
+    #[argh(option)]
+    pub(crate) data: PathBuf,
+
+    /// number of the member
+    #[argh(option)]
+    pub(crate) id: u64,
+
+    /// address for members and relays
+    #[argh(option)]
+    pub(crate) listen: SocketAddr,
+
+    /// operators' interface of the member
+    #[argh(option)]
+    pub(crate) http: SocketAddr,
 }
 
 /// Submit a patch against a version.
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,6 +4,7 @@
 
 use awc::Client;
 use awc::http::{Method, StatusCode, header};
+use bytes::Bytes;
 use serde_json::Value;
 
 use crate::cli::Arguments;
@@ -50,7 +51,7 @@
 
 /// What one member answered.
 enum Reply {
-    Document(Value),
+    Body(Bytes),
     Redirect(String),
     Refused(CommandError),
     /// The member can't serve at present; another try is safe.
@@ -71,15 +72,22 @@
         self.patience
     }
 
-    /// Sends a request until a member answers it or patience ends.
+    /// Sends a request and reads the answer as JSON.
     pub(crate) async fn send(&self, request: &Request) -> Result<Value, CommandError> {
+        let body = self.fetch(request).await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| CommandError::Unreachable(format!("the answer is not JSON: {error}")))
+    }
+
+    /// Sends a request until a member answers it or patience ends.
+    pub(crate) async fn fetch(&self, request: &Request) -> Result<Bytes, CommandError> {
         let client = Client::builder().disable_redirects().timeout(REQUEST_LIMIT).finish();
         let until = Instant::now() + self.patience;
         loop {
             let mut last = CommandError::Unreachable("no address is given".to_owned());
             for address in &self.addresses {
                 match self.ask(&client, address, request).await {
-                    Reply::Document(document) => return Ok(document),
+                    Reply::Body(body) => return Ok(body),
                     Reply::Refused(error) => return Err(error),
                     Reply::Redirect(url) => {
                         last = CommandError::Unreachable(format!("too many redirects to {url}"));
@@ -127,10 +135,12 @@
         Ok(body) => body,
         Err(error) => return Reply::Retry(CommandError::Unreachable(format!("{url}: {error}"))),
     };
-    let document: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
     match status.is_success() {
-        true => Reply::Document(document),
-        false => refusal(status, &document, request),
+        true => Reply::Body(body),
+        false => {
+            let document = serde_json::from_slice(&body).unwrap_or(Value::Null);
+            refusal(status, &document, request)
+        }
     }
 }
 
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,7 +1,9 @@
 //! The verbs of the command line.
 
+mod backup;
 mod check;
 mod keys;
+mod member;
 mod submit;
 
 use serde_json::Value;
@@ -44,6 +46,9 @@
         }
         Verb::Check(verb) => check::check(verb),
         Verb::Keys(verb) => keys::keys(verb),
+        Verb::Member(verb) => member::member(&source, &verb.verb).await,
+        Verb::Backup(verb) => backup::backup(&source, verb).await,
+        Verb::Restore(verb) => backup::restore(verb),
     }
 }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -69,6 +69,22 @@
     }
 }
 
+/// Prints the members of the source, a line each.
+pub(crate) fn print_members(document: &Value) {
+    for member in items(document, "members") {
+        let vote = if member["vote"] == true { "voter" } else { "learner" };
+        let role = if member["leader"] == true { "leader" } else { "-" };
+        println!(
+            "{}  {vote}  {role}  {}  {}  stored {} of {}",
+            member["id"],
+            text(member, "listen"),
+            text(member, "http"),
+            member["stored"],
+            document["last"],
+        );
+    }
+}
+
 fn items<'a>(document: &'a Value, field: &str) -> &'a [Value] {
     document[field].as_array().map(Vec::as_slice).unwrap_or_default()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,3 +21,4 @@
 pub use error::StartError;
 pub use link::Endpoint;
 pub use run::run;
+pub use upstream::LinkMeter;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Metrics of the process, as Prometheus text.
 
-use std::sync::LazyLock;
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 
 use actix_web::HttpResponse;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
+use crate::upstream::LinkMeter;
+
 /// Bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 12] =
     [0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0];
@@ -38,6 +40,29 @@
     gauge
 });
 
+/// Links to upstream processes whose bytes are counted.
+static CONTROL_LINKS: Mutex<Vec<Arc<LinkMeter>>> = Mutex::new(Vec::new());
+
+/// Bytes of the links to upstream processes.
+static CONTROL_BYTES: LazyLock<IntGauge> = LazyLock::new(|| {
+    let help = "Bytes of the control links upward, UDP payloads in both directions.";
+    let gauge = IntGauge::new("kingcuplift_control_bytes", help)
+        .expect("the options are constant and valid");
+    register(gauge.clone());
+    gauge
+});
+
+/// Returns a meter whose bytes are part of the metrics.
+pub(crate) fn control_link() -> Arc<LinkMeter> {
+    let meter = Arc::new(LinkMeter::default());
+    control_links().push(Arc::clone(&meter));
+    meter
+}
+
+fn control_links() -> MutexGuard<'static, Vec<Arc<LinkMeter>>> {
+    CONTROL_LINKS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn counter(name: &str, help: &str, label: &str) -> IntCounterVec {
     let counter = IntCounterVec::new(Opts::new(name, help), &[label])
         .expect("the options are constant and valid");
@@ -52,6 +77,8 @@
 
 /// Serves the metrics.
 pub(crate) async fn serve() -> HttpResponse {
+    let bytes: u64 = control_links().iter().map(|meter| meter.bytes()).sum();
+    CONTROL_BYTES.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     match TextEncoder::new().encode_to_string(&REGISTRY.gather()) {
         Ok(text) => HttpResponse::Ok().content_type(prometheus::TEXT_FORMAT).body(text),
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -27,7 +27,7 @@
 use crate::metrics;
 use crate::node::gate::Gate;
 use crate::node::shared::{LocalTarget, Locals, NodeShared, ServiceView, View};
-use crate::upstream::{FromAbove, Upstream};
+use crate::upstream::{FromAbove, LinkMeter, Upstream};
 
 /// Time between checks of leases.
 const TICK: Duration = Duration::from_millis(200);
@@ -113,13 +113,15 @@
         services: Vec<ServiceName>,
         endpoint: Endpoint,
         relays: Vec<SocketAddr>,
+        meter: Arc<LinkMeter>,
     ) -> Self {
+        let role = Role::Relay;
         Self {
             shared,
             peer,
             subscription: Subscription::new(services.iter().cloned()),
             services,
-            upstream: Some(Upstream { endpoint, role: Role::Relay, addresses: relays }),
+            upstream: Some(Upstream { endpoint, role, addresses: relays, meter }),
             above: None,
             feed: Feed::default(),
             table: TargetTable::default(),
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -1,6 +1,7 @@
 //! Connects the source above with the nodes below.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message};
@@ -20,7 +21,7 @@
 use crate::metrics;
 use crate::relay::sums;
 use crate::session::{self, FromBelow, Join, Joined, Leave, Pull};
-use crate::upstream::{FromAbove, Upstream};
+use crate::upstream::{FromAbove, LinkMeter, Upstream};
 
 /// Shortest time between two sends to one node.
 const PUSH_INTERVAL: Duration = Duration::from_millis(50);
@@ -81,11 +82,13 @@
         zone: ZoneName,
         endpoint: Endpoint,
         sources: Vec<std::net::SocketAddr>,
+        meter: Arc<LinkMeter>,
     ) -> Self {
+        let role = Role::Source;
         Self {
             name,
             zone,
-            upstream: Some(Upstream { endpoint, role: Role::Source, addresses: sources }),
+            upstream: Some(Upstream { endpoint, role, addresses: sources, meter }),
             above: None,
             feed: Feed::default(),
             fanout: Fanout::default(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 use crate::cli::Arguments;
 use crate::error::StartError;
 use crate::link::Endpoint;
+use crate::metrics;
 use crate::node::{self, NodeActor, NodeShared};
 use crate::options::{KeyOptions, NodeOptions, Options, RelayOptions, SourceOptions};
 use crate::relay::{self, RelayActor};
@@ -91,7 +92,14 @@
     ) -> Result<(), StartError> {
         let endpoint = Endpoint::bind(relay.listen, credentials)?;
         let (name, zone) = (options.name.clone(), options.zone.clone());
-        let actor = RelayActor::new(name, zone, endpoint.clone(), relay.sources.clone()).start();
+        let actor = RelayActor::new(
+            name,
+            zone,
+            endpoint.clone(),
+            relay.sources.clone(),
+            metrics::control_link(),
+        )
+        .start();
         actix::spawn(relay::accept_nodes(endpoint, actor.clone()));
         self.serve(relay::serve_http(relay.http, actor)?);
         Ok(())
@@ -112,6 +120,7 @@
             node.services.clone(),
             endpoint,
             node.relays.clone(),
+            metrics::control_link(),
         )
         .start();
         self.serve(node::serve_peers(node.peers, node.threads, Arc::clone(&shared))?);
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod http;
 mod links;
+mod members;
 mod query;
 mod tracker;
 mod writer;
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -29,6 +29,7 @@
 use crate::session::{FromBelow, Join, Joined, Leave, Pull};
 use crate::source::answer::Answer;
 use crate::source::links::{FromPeer, dial_member};
+use crate::source::members::{self, MemberChange};
 use crate::source::query::{Question, View};
 use crate::source::tracker::Tracker;
 use crate::source::writer::{self, Job, Written};
@@ -59,6 +60,21 @@
 #[rtype(result = "MemberHealth")]
 pub(crate) struct AskHealth;
 
+/// Asks for a change of the membership.
+#[derive(Debug, Message)]
+#[rtype(result = "Answer")]
+pub(crate) struct Change(pub(crate) MemberChange);
+
+/// Asks for the members as the leader sees them.
+#[derive(Debug, Message)]
+#[rtype(result = "Answer")]
+pub(crate) struct AskMembers;
+
+/// Asks for the whole state, to be kept elsewhere.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<Vec<u8>, Answer>")]
+pub(crate) struct AskBackup;
+
 /// Asks the member to hand over leadership.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -72,6 +88,7 @@
     pub(crate) head: u64,
     pub(crate) leader: Option<u64>,
     pub(crate) relays: usize,
+    pub(crate) disk: u64,
     pub(crate) healthy: bool,
 }
 
@@ -188,7 +205,11 @@
     }
 
     fn apply(&mut self, entry: Entry, token: Option<Token>) {
-        let Some(entry::Body::Command(command)) = entry.body else { return };
+        let command = match entry.body {
+            Some(entry::Body::Command(command)) => command,
+            Some(entry::Body::Membership(_)) => return self.answer_change(token),
+            _ => return,
+        };
         let Ok(submission) = Submission::decode(command.as_ref()) else { return };
         let outcome = self.catalog.apply(&submission);
         let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
@@ -203,6 +224,27 @@
         }
     }
 
+    /// Answers the operator whose membership change is committed.
+    fn answer_change(&mut self, token: Option<Token>) {
+        let waiting = token.and_then(|token| self.answers.remove(&token));
+        let (Some(answer), Stage::Member(replica)) = (waiting, &self.stage) else { return };
+        drop(answer.send(Answer::Document(members::list(replica))));
+    }
+
+    /// Keeps the place for an answer and returns its token and the future answer.
+    fn expect_answer(&mut self) -> (Token, ResponseFuture<Answer>) {
+        self.token += 1;
+        let (sender, receiver) = oneshot::channel();
+        self.answers.insert(self.token, sender);
+        let answer = Box::pin(async move {
+            receiver.await.unwrap_or_else(|_| {
+                let detail = "the member stopped; send the same request again";
+                Answer::problem(ResultCode::LeadershipLost, detail)
+            })
+        });
+        (self.token, answer)
+    }
+
     fn install(&mut self, snapshot: &Snapshot) {
         match Catalog::decode(&snapshot.state) {
             Ok(catalog) => {
@@ -487,17 +529,54 @@
             let outcome = Outcome::Refused { code, faults: faults.0 };
             return Box::pin(async move { Answer::outcome(outcome) });
         }
-        self.token += 1;
-        let (sender, receiver) = oneshot::channel();
-        self.answers.insert(self.token, sender);
+        let (token, answer) = self.expect_answer();
         let command = submission.encode_to_vec();
-        self.step(Input::Propose { token: self.token, command });
-        Box::pin(async move {
-            receiver.await.unwrap_or_else(|_| {
-                let detail = "the member stopped; send the same operation id again";
-                Answer::problem(ResultCode::LeadershipLost, detail)
-            })
-        })
+        self.step(Input::Propose { token, command });
+        answer
+    }
+}
+
+impl Handler<Change> for SourceActor {
+    type Result = ResponseFuture<Answer>;
+
+    fn handle(&mut self, message: Change, _: &mut Self::Context) -> Self::Result {
+        if let Some(answer) = self.not_leading() {
+            return Box::pin(async move { answer });
+        }
+        let Stage::Member(replica) = &self.stage else {
+            return Box::pin(async { Answer::problem(ResultCode::NoLeader, "no group is formed") });
+        };
+        match message.0.apply(replica) {
+            Ok(membership) => {
+                let (token, answer) = self.expect_answer();
+                self.step(Input::ChangeMembers { token, membership });
+                answer
+            }
+            Err(answer) => Box::pin(async move { answer }),
+        }
+    }
+}
+
+impl Handler<AskMembers> for SourceActor {
+    type Result = Answer;
+
+    fn handle(&mut self, _: AskMembers, _: &mut Self::Context) -> Answer {
+        match (self.not_leading(), &self.stage) {
+            (None, Stage::Member(replica)) => Answer::Document(members::list(replica)),
+            (Some(answer), _) => answer,
+            _ => Answer::problem(ResultCode::NoLeader, "no group is formed"),
+        }
+    }
+}
+
+impl Handler<AskBackup> for SourceActor {
+    type Result = Result<Vec<u8>, Answer>;
+
+    fn handle(&mut self, _: AskBackup, _: &mut Self::Context) -> Self::Result {
+        match self.not_leading() {
+            None => Ok(self.catalog.encode()),
+            Some(answer) => Err(answer),
+        }
     }
 }
 
@@ -535,6 +614,7 @@
             head: self.catalog.head().get(),
             leader,
             relays: self.fanout.len(),
+            disk: self.identity.disk,
             healthy: leader.is_some(),
         }
     }
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -1,5 +1,6 @@
 //! The operators' interface of a source member.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,7 +8,8 @@
 use actix_web::dev::Server;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use kingcuplift_config::{MAX_PATCH, Submission};
-use kingcuplift_core::{ByteSize, OperationId, ResultCode, Version, ZoneName};
+use kingcuplift_core::{ByteSize, MemberId, OperationId, ResultCode, Version, ZoneName};
+use kingcuplift_schema::quorum::Voter;
 use rand::Rng;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -15,14 +17,17 @@
 use crate::error::StartError;
 use crate::metrics;
 use crate::source::SourceActor;
-use crate::source::actor::{Ask, AskHealth, Submit};
+use crate::source::actor::{Ask, AskBackup, AskHealth, AskMembers, Change, Submit};
 use crate::source::answer::Answer;
+use crate::source::members::MemberChange;
 use crate::source::query::{DEFAULT_LIMIT, Question};
 
 /// Longest time that a submission waits for its outcome.
 const COMMIT_LIMIT: Duration = Duration::from_secs(5);
 /// Room for the fields around a patch.
 const ENVELOPE: ByteSize = ByteSize::kib(64);
+/// Zstandard level of backups.
+const BACKUP_LEVEL: i32 = 6;
 /// Longest note or author, in bytes.
 const MAX_NOTE: usize = 4_096;
 /// Header that makes a submission idempotent.
@@ -69,6 +74,11 @@
             .route("/v1/moves/{name}", web::get().to(show_move))
             .route("/v1/zones/{zone}/{state}", web::post().to(set_zone))
             .route("/v1/targets", web::get().to(list_targets))
+            .route("/v1/members", web::get().to(list_members))
+            .route("/v1/members", web::post().to(add_member))
+            .route("/v1/members/{id}/promote", web::post().to(promote_member))
+            .route("/v1/members/{id}", web::delete().to(remove_member))
+            .route("/v1/backup", web::get().to(backup))
             .route("/healthz", web::get().to(health))
             .route("/metrics", web::get().to(metrics::serve))
     };
@@ -219,10 +229,86 @@
     send_submission(source, submission).await
 }
 
+async fn list_members(request: HttpRequest, source: Source) -> HttpResponse {
+    let answer = source.send(AskMembers).await.unwrap_or_else(|_| stopping());
+    respond(&request, answer)
+}
+
+/// Body of a request to add a member.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberBody {
+    id: u64,
+    listen: SocketAddr,
+    http: SocketAddr,
+    /// Identity of the disk, in hexadecimal, as the member's health shows it.
+    disk: String,
+}
+
+async fn add_member(request: HttpRequest, body: web::Bytes, source: Source) -> HttpResponse {
+    let parsed = serde_json::from_slice::<MemberBody>(&body).ok();
+    let disk = parsed.as_ref().and_then(|body| u64::from_str_radix(&body.disk, 16).ok());
+    let (Some(body), Some(disk)) = (parsed, disk) else {
+        let detail = "send {\"id\": N, \"listen\": ..., \"http\": ..., \"disk\": HEX}";
+        return respond(&request, Answer::problem(ResultCode::PatchMalformed, detail));
+    };
+    let (listen, http) = (body.listen.to_string(), body.http.to_string());
+    let voter = Voter { id: body.id, disk, listen, http };
+    change_members(&request, &source, MemberChange::Add(voter)).await
+}
+
+async fn promote_member(request: HttpRequest, id: web::Path<u64>, source: Source) -> HttpResponse {
+    let change = MemberChange::Promote(MemberId::new(*id));
+    change_members(&request, &source, change).await
+}
+
+async fn remove_member(request: HttpRequest, id: web::Path<u64>, source: Source) -> HttpResponse {
+    let change = MemberChange::Remove(MemberId::new(*id));
+    change_members(&request, &source, change).await
+}
+
+async fn change_members(
+    request: &HttpRequest,
+    source: &Source,
+    change: MemberChange,
+) -> HttpResponse {
+    let answer = match tokio::time::timeout(COMMIT_LIMIT, source.send(Change(change))).await {
+        Ok(answer) => answer.unwrap_or_else(|_| stopping()),
+        Err(_) => {
+            let detail = "no majority has stored the change yet; see `member list`";
+            Answer::problem(ResultCode::LeadershipLost, detail)
+        }
+    };
+    respond(request, answer)
+}
+
+/// Sends the whole state, compressed and with a checksum.
+async fn backup(request: HttpRequest, source: Source) -> HttpResponse {
+    match source.send(AskBackup).await {
+        Ok(Ok(state)) => match compress(&state) {
+            Ok(body) => HttpResponse::Ok().content_type("application/zstd").body(body),
+            Err(error) => {
+                respond(&request, Answer::problem(ResultCode::StorageFailed, error.to_string()))
+            }
+        },
+        Ok(Err(answer)) => respond(&request, answer),
+        Err(_) => respond(&request, stopping()),
+    }
+}
+
+fn compress(state: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut encoder = zstd::Encoder::new(Vec::new(), BACKUP_LEVEL)?;
+    encoder.include_checksum(true)?;
+    encoder.write_all(state)?;
+    encoder.finish()
+}
+
+fn stopping() -> Answer {
+    Answer::problem(ResultCode::NoLeader, "the member is stopping; try another")
+}
+
 async fn ask(request: &HttpRequest, source: &Source, question: Question) -> HttpResponse {
-    let answer = source.send(Ask(question)).await.unwrap_or_else(|_| {
-        Answer::problem(ResultCode::NoLeader, "the member is stopping; try another")
-    });
+    let answer = source.send(Ask(question)).await.unwrap_or_else(|_| stopping());
     respond(request, answer)
 }
 
@@ -236,6 +322,7 @@
         "head": state.head,
         "leader": state.leader,
         "relays": state.relays,
+        "disk": format!("{:016x}", state.disk),
     });
     match state.healthy {
         true => HttpResponse::Ok().json(document),
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,6 +1,8 @@
 //! Keeps a link to one upstream process: a relay's to the source, a node's to a relay.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use actix::{Message, Recipient};
@@ -39,6 +41,35 @@
     pub(crate) endpoint: Endpoint,
     pub(crate) role: Role,
     pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) meter: Arc<LinkMeter>,
+}
+
+/// Bytes that the links of one process have carried, UDP payloads in both directions.
+#[derive(Debug, Default)]
+pub struct LinkMeter {
+    ended: AtomicU64,
+    current: Mutex<Option<quinn::Connection>>,
+}
+
+impl LinkMeter {
+    /// Returns the bytes sent and received so far.
+    pub fn bytes(&self) -> u64 {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        self.ended.load(Ordering::Relaxed) + current.as_ref().map_or(0, udp_bytes)
+    }
+
+    /// Counts a link from now on, in place of the one before.
+    fn follow(&self, connection: Option<quinn::Connection>) {
+        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let ended = current.as_ref().map_or(0, udp_bytes);
+        self.ended.fetch_add(ended, Ordering::Relaxed);
+        *current = connection;
+    }
+}
+
+fn udp_bytes(connection: &quinn::Connection) -> u64 {
+    let stats = connection.stats();
+    stats.udp_tx.bytes + stats.udp_rx.bytes
 }
 
 impl Upstream {
@@ -80,6 +111,7 @@
         let connection = tokio::time::timeout(CONNECT_LIMIT, connecting)
             .await
             .map_err(|_elapsed| LinkError::Connection(quinn::ConnectionError::TimedOut))??;
+        self.meter.follow(Some(connection.clone()));
         let (send, receive) = connection.open_bi().await?;
         let (sender, queue) = mpsc::channel(QUEUE);
         actor.do_send(FromAbove::Opened(sender));
@@ -88,6 +120,7 @@
             outcome = write_all(Writer::new(send), queue) => outcome.map(|()| None),
             outcome = read_all(&mut reader, actor, address) => outcome,
         };
+        self.meter.follow(None);
         actor.do_send(FromAbove::Closed);
         match first {
             Ok(redirect) => Ok(redirect),
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -245,6 +245,8 @@
     /// Stops a member from doing anything until it is thawed.
     pub fn freeze(&mut self, id: MemberId, is_frozen: bool) {
         self.members.get_mut(&id).expect("the member exists").is_frozen = is_frozen;
+        // A member that wakes up may be asked before it notices how much time has passed.
+        self.check_read(id);
     }
 
     /// Cuts or restores the way from one member to another.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -3,9 +3,9 @@
 //! A [`Site`] stops only the processes that it started. A [`Cluster`] runs the real consensus state
 //! machine and the real storage code on fake disks and a fake network.
 
+mod addresses;
 mod cluster;
 mod disk;
-mod ports;
 mod process;
 mod site;
 
--- a/crates/testing/src/site.rs
+++ b/crates/testing/src/site.rs
@@ -1,6 +1,7 @@
 //! A site: source members, relays, nodes and targets.
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::process::{Child, Command, Output};
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::ports::free_address;
+use crate::addresses::AddressPool;
 use crate::process::{binary, spawn};
 
 /// Longest time that anything in a site may take.
@@ -144,6 +145,21 @@
         child.wait().expect("the process ends");
     }
 
+    /// Returns the address of a process for HTTP.
+    pub fn http(&self, name: &str) -> &str {
+        &self.addresses[name].http
+    }
+
+    /// Returns the address of a process for other members, relays or nodes.
+    pub fn listen(&self, name: &str) -> &str {
+        &self.addresses[name].listen
+    }
+
+    /// Returns the data folder of a source member.
+    pub fn data(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{name}"))
+    }
+
     /// Returns the log of a process.
     pub fn log(&self, name: &str) -> String {
         let path = self.folder.path().join(format!("{name}.log"));
@@ -160,8 +176,13 @@
     /// Runs the command line against all source members.
     pub fn command(&self, arguments: &[&str]) -> Output {
         let sources: Vec<String> = self.http_of("source");
+        let patience: &[&str] = match arguments.first() {
+            Some(&"--patience") => &[],
+            _ => &["--patience", "30"],
+        };
         Command::new(binary("kingcuplift"))
-            .args(["--sources", &sources.join(","), "--patience", "30"])
+            .args(["--sources", &sources.join(",")])
+            .args(patience)
             .args(arguments)
             .output()
             .expect("the command line starts")
@@ -270,13 +291,14 @@
             ("node", builder.nodes),
             ("target", builder.nodes),
         ];
+        let mut pool = AddressPool::new();
         for (role, count) in counts {
             for number in 1..=count {
                 let addresses = Addresses {
-                    http: free_address(),
-                    listen: free_address(),
-                    callers: free_address(),
-                    peers: free_address(),
+                    http: pool.next(),
+                    listen: pool.next(),
+                    callers: pool.next(),
+                    peers: pool.next(),
                 };
                 self.addresses.insert(format!("{role}-{number}"), addresses);
             }
