Refuse connections above 500 a second before the handshake

Cause: a relay admitted 50 nodes in 100 ms but refused the others only after the whole mutual handshake, so each refusal cost as much as an admission. Property: at most 550 in any second; 1 to 1000 nodes returning at once are all in within 8 s.

--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -12,7 +12,7 @@
     Downward, FreshnessReply, FreshnessRequest, Hello, Progress, Redirect, Target, TargetState,
     TargetUpdate, UpdateFrame, Upward, downward, upward,
 };
-use kingcuplift_traffic::{Merge, TargetKey, TargetTable};
+use kingcuplift_traffic::{HandshakeLimit, Merge, TargetKey, TargetTable};
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
@@ -29,10 +29,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a node may be away before its targets count as gone, in milliseconds.
 const NODE_GRACE: u64 = 10_000;
-/// Nodes admitted within one interval of [`REPORT_INTERVAL`].
-const ADMISSIONS: u32 = 50;
-/// Time after which a node that was not admitted tries again, in milliseconds.
-const ADMISSION_RETRY: u64 = 500;
+/// Time after which a node tries again while the relay has no configuration, in milliseconds.
+const EMPTY_RETRY: u64 = 500;
 
 /// Asks for the relay's state.
 #[derive(Debug, Message)]
@@ -72,7 +70,6 @@
     asked: Vec<(SessionId, u64)>,
     request: u64,
     reported: Progress,
-    admitted: u32,
 }
 
 impl RelayActor {
@@ -98,7 +95,6 @@
             asked: Vec::new(),
             request: 0,
             reported: Progress::default(),
-            admitted: 0,
         }
     }
 
@@ -228,7 +224,6 @@
     }
 
     fn report(&mut self) {
-        self.admitted = 0;
         let progress = sums::progress(&self.fanout);
         if progress != self.reported && self.send_above(upward::Body::Progress(progress.clone())) {
             self.reported = progress;
@@ -247,7 +242,12 @@
 
 /// Accepts connections of nodes until the endpoint is closed.
 pub(crate) async fn accept_nodes(endpoint: Endpoint, actor: Addr<RelayActor>) {
+    let mut limit = HandshakeLimit::new(monotonic_ms());
     while let Some(incoming) = endpoint.accept().await {
+        if !limit.admit(monotonic_ms()) {
+            incoming.refuse();
+            continue;
+        }
         let actor = actor.clone();
         actix::spawn(async move {
             match complete(incoming).await {
@@ -289,12 +289,9 @@
 
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
         if self.feed.head() == Version::default() && self.above.is_none() {
-            return Err(Redirect { address: String::new(), retry_ms: ADMISSION_RETRY });
-        }
-        if self.admitted >= ADMISSIONS {
-            return Err(Redirect { address: String::new(), retry_ms: ADMISSION_RETRY });
+            return Err(Redirect { address: String::new(), retry_ms: EMPTY_RETRY });
         }
-        self.admitted += 1;
+
         let grant = join.grant;
         let (session, wake) = self.fanout.join(grant.name, grant.zone, &join.hello, &self.feed);
         Ok(Joined { session, wake })
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod choice;
+mod handshakes;
 mod lease;
 mod retry;
 mod router;
@@ -11,6 +12,7 @@
 
 pub use admission::{Admission, CallId, Decision, Limits, Release};
 pub use choice::{Candidate, choose};
+pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
 pub use retry::{Attempt, RetryBudget, may_retry};
 pub use router::{RouteMatch, Router};
