Compute a receiver's digest only when something it holds has changed

Cause: for each node and change the relay hashed the node's whole closure (8 services, about 50 resources), though nearly all changes concern other nodes. Ruled out: encoding (done once for each subscription already).

--- a/crates/config/src/feed.rs
+++ b/crates/config/src/feed.rs
@@ -122,9 +122,15 @@
 
     /// Makes the update that brings a receiver from version `have` to the head.
     ///
-    /// The answer is a full update when the changes since `have` are no longer kept, or when that is
-    /// shorter.
-    pub fn update_since(&self, have: Version, subscription: &Subscription) -> Update {
+    /// `digest` is that of what the receiver holds, where the sender knows it; it spares computing the
+    /// digest when nothing that the receiver holds has changed. The answer is a full update when the
+    /// changes since `have` are no longer kept, or when that is shorter.
+    pub fn update_since(
+        &self,
+        have: Version,
+        subscription: &Subscription,
+        digest: Option<Digest>,
+    ) -> Update {
         let known = have >= self.oldest && have <= self.head;
         let prior = match known {
             true => self.prior_since(have),
@@ -137,11 +143,13 @@
         for (key, before) in &prior {
             self.add_change(key, *before, subscription, &mut changes);
         }
+        let known = digest.filter(|_| changes.is_empty());
+        let digest = known.unwrap_or_else(|| self.digest(subscription));
         Update {
             base: have.get(),
             version: self.head.get(),
             changes: changes.into_iter().map(|(key, json)| wire_change(&key, json)).collect(),
-            digest: self.digest(subscription).to_bytes().to_vec(),
+            digest: digest.to_bytes().to_vec(),
             full: false,
         }
     }
--- a/crates/config/tests/feed_updates.rs
+++ b/crates/config/tests/feed_updates.rs
@@ -6,7 +6,7 @@
     Applied, Catalog, Feed, Outcome, Submission, Subscription, UpdateError, decode_update,
     encode_update,
 };
-use kingcuplift_core::{ServiceName, Version};
+use kingcuplift_core::{Digest, ServiceName, Version};
 use kingcuplift_schema::control::{Update, UpdateFrame};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -27,6 +27,8 @@
     sent: Option<Version>,
     in_flight: Vec<UpdateFrame>,
     needs_full: bool,
+    /// Digest that the sender sent last.
+    digest: Option<Digest>,
 }
 
 #[derive(Debug, Clone)]
@@ -99,18 +101,26 @@
 impl Receiver {
     fn new(subscription: Subscription) -> Self {
         let feed = Feed::default();
-        Self { feed, subscription, sent: None, in_flight: Vec::new(), needs_full: false }
+        Self {
+            feed,
+            subscription,
+            sent: None,
+            in_flight: Vec::new(),
+            needs_full: false,
+            digest: None,
+        }
     }
 
     /// Sends what the receiver lacks, as the sender believes.
     fn send(&mut self, source: &Feed) {
         let update = match self.sent {
             _ if self.needs_full => source.full_update(&self.subscription),
-            Some(version) => source.update_since(version, &self.subscription),
+            Some(version) => source.update_since(version, &self.subscription, self.digest),
             None => source.full_update(&self.subscription),
         };
         self.needs_full = false;
         self.sent = Some(source.head());
+        self.digest = Digest::from_bytes(&update.digest);
         self.in_flight.push(encode_update(&update));
     }
 
@@ -205,10 +215,12 @@
             Step::Restart(r) => {
                 receivers[*r].feed = Feed::default();
                 receivers[*r].sent = None;
+                receivers[*r].digest = None;
                 receivers[*r].in_flight.clear();
             }
             Step::Reconnect(r) => {
                 receivers[*r].sent = Some(receivers[*r].feed.head()).filter(|v| v.get() > 0);
+                receivers[*r].digest = None;
                 receivers[*r].in_flight.clear();
             }
         }
@@ -216,6 +228,7 @@
     for receiver in &mut receivers {
         receiver.in_flight.clear();
         receiver.sent = Some(receiver.feed.head()).filter(|version| version.get() > 0);
+        receiver.digest = None;
         for _ in 0..2 {
             receiver.send(catalog.feed());
             receiver.deliver(0, false, catalog.feed());
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -24,6 +24,8 @@
     subscription: Subscription,
     /// Version sent last; `None` means that the next update is a full one.
     sent: Option<Version>,
+    /// Digest of what was sent last.
+    digest: Option<Digest>,
     position: Option<u64>,
     replies: Vec<FreshnessReply>,
     wake: Arc<Notify>,
@@ -33,7 +35,7 @@
 #[derive(Debug, Default)]
 struct FrameCache {
     head: Version,
-    frames: BTreeMap<(Option<Version>, Subscription), UpdateFrame>,
+    frames: BTreeMap<(Option<Version>, Subscription), (UpdateFrame, Option<Digest>)>,
 }
 
 /// All connected downstream processes.
@@ -71,6 +73,7 @@
             applied: held,
             subscription,
             sent,
+            digest: None,
             position: None,
             replies: Vec::new(),
             wake: Arc::clone(&wake),
@@ -143,7 +146,8 @@
         let downstream = self.sessions.get_mut(&session)?;
         let mut bodies = Vec::new();
         if downstream.sent.is_none_or(|sent| sent < feed.head()) {
-            let frame = self.cache.frame(downstream.sent, &downstream.subscription, feed);
+            let (frame, digest) = self.cache.frame(downstream, feed);
+            downstream.digest = digest;
             bodies.push(downward::Body::Update(frame));
             downstream.sent = Some(feed.head());
         }
@@ -176,24 +180,20 @@
 }
 
 impl FrameCache {
-    /// Returns the encoded update from `sent` to the head.
-    fn frame(
-        &mut self,
-        sent: Option<Version>,
-        subscription: &Subscription,
-        feed: &Feed,
-    ) -> UpdateFrame {
+    /// Returns the encoded update from what was sent to the head, and the digest after it.
+    fn frame(&mut self, receiver: &Downstream, feed: &Feed) -> (UpdateFrame, Option<Digest>) {
         if self.head != feed.head() {
             self.head = feed.head();
             self.frames.clear();
         }
-        let key = (sent, subscription.clone());
+        let subscription = &receiver.subscription;
+        let key = (receiver.sent, subscription.clone());
         let make = || {
-            let update = match sent {
-                Some(version) => feed.update_since(version, subscription),
+            let update = match receiver.sent {
+                Some(version) => feed.update_since(version, subscription, receiver.digest),
                 None => feed.full_update(subscription),
             };
-            encode_update(&update)
+            (encode_update(&update), Digest::from_bytes(&update.digest))
         };
         self.frames.entry(key).or_insert_with(make).clone()
     }
