Prepare only the hosts and services that a change concerns

Ruled out: bytes (1.1 KB/s) and the relay (2% of a core) were not the limit. Now a view follows the changed resources; persistent maps share the rest.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -20,15 +20,13 @@
     pub changed: Version,
 }
 
-/// Host and prefix of a route.
-type RouteMatch = (SmolStr, SmolStr);
-
 /// All resources of one version.
 #[derive(Debug, Clone, Default)]
 pub struct Document {
     resources: BTreeMap<ResourceKey, Stored>,
     referrers: HashMap<ResourceKey, BTreeSet<ResourceKey>>,
-    matches: HashMap<RouteMatch, ResourceKey>,
+    /// Routes by host and prefix.
+    hosts: HashMap<SmolStr, BTreeMap<SmolStr, ResourceKey>>,
     digest: Digest,
 }
 
@@ -70,7 +68,17 @@
 
     /// Returns the route with this host and prefix.
     pub fn route_at(&self, host: &SmolStr, prefix: &SmolStr) -> Option<&ResourceKey> {
-        self.matches.get(&(host.clone(), prefix.clone()))
+        self.hosts.get(host)?.get(prefix)
+    }
+
+    /// Returns all hosts that routes name.
+    pub fn hosts(&self) -> impl Iterator<Item = &SmolStr> {
+        self.hosts.keys()
+    }
+
+    /// Returns the addresses of the routes of one host.
+    pub fn routes_of(&self, host: &SmolStr) -> impl Iterator<Item = &ResourceKey> {
+        self.hosts.get(host).into_iter().flat_map(BTreeMap::values)
     }
 
     /// Returns the addresses of all resources of one kind.
@@ -111,7 +119,8 @@
             self.referrers.entry(target).or_default().insert(key.clone());
         }
         if let Resource::Route(route) = &stored.resource {
-            self.matches.insert((route.host.clone(), route.prefix.clone()), key.clone());
+            let prefixes = self.hosts.entry(route.host.clone()).or_default();
+            prefixes.insert(route.prefix.clone(), key.clone());
         }
     }
 
@@ -124,10 +133,15 @@
                 self.referrers.remove(&target);
             }
         }
-        if let Resource::Route(route) = &stored.resource {
-            let place = (route.host.clone(), route.prefix.clone());
-            if self.matches.get(&place) == Some(key) {
-                self.matches.remove(&place);
+        if let Resource::Route(route) = &stored.resource
+            && let Some(prefixes) = self.hosts.get_mut(&route.host)
+        {
+            // Another route may have taken the place within the same change.
+            if prefixes.get(&route.prefix) == Some(key) {
+                prefixes.remove(&route.prefix);
+            }
+            if prefixes.is_empty() {
+                self.hosts.remove(&route.host);
             }
         }
     }
--- a/crates/config/src/feed.rs
+++ b/crates/config/src/feed.rs
@@ -131,17 +131,16 @@
         subscription: &Subscription,
         digest: Option<Digest>,
     ) -> Update {
-        let known = have >= self.oldest && have <= self.head;
-        let prior = match known {
-            true => self.prior_since(have),
-            false => return self.full_update(subscription),
+        let Some(changes) = self.changes_since(have) else {
+            return self.full_update(subscription);
         };
+        let prior: Vec<_> = changes.collect();
         if prior.len() > self.document.len() {
             return self.full_update(subscription);
         }
         let mut changes = BTreeMap::new();
-        for (key, before) in &prior {
-            self.add_change(key, *before, subscription, &mut changes);
+        for (key, before) in prior {
+            self.add_change(key, before, subscription, &mut changes);
         }
         let known = digest.filter(|_| changes.is_empty());
         let digest = known.unwrap_or_else(|| self.digest(subscription));
@@ -261,6 +260,15 @@
         digest
     }
 
+    /// Returns each resource changed since `have` with its content then, if that is still known.
+    pub fn changes_since(
+        &self,
+        have: Version,
+    ) -> Option<impl Iterator<Item = (&ResourceKey, Option<&Stored>)>> {
+        let known = have >= self.oldest && have <= self.head;
+        known.then(|| self.prior_since(have).into_iter())
+    }
+
     /// Returns, for each resource changed since `have`, its content at `have`.
     fn prior_since(&self, have: Version) -> BTreeMap<&ResourceKey, Option<&Stored>> {
         let mut prior = BTreeMap::new();
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -9,14 +9,16 @@
 use awc::Client;
 use bytes::Bytes;
 use kingcuplift_core::{Event, ResultCode, RunState};
-use kingcuplift_traffic::{Attempt, Candidate, RouteMatch, TargetKey, choose, may_retry};
+use kingcuplift_traffic::{
+    Attempt, Candidate, RouteMatch, ServiceView, TargetKey, View, choose, may_retry,
+};
 
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
 use crate::metrics;
 use crate::node::forward::{self, Answer, Call, MAX_CALL, TIMEOUT_HEADER};
 use crate::node::peers::{STOP_LIMIT, hand_over, path_of, respond, write_envelope};
-use crate::node::shared::{NodeShared, ServiceView, View};
+use crate::node::shared::NodeShared;
 use crate::problem::CODE_HEADER;
 
 /// Targets that one call may be sent to.
@@ -86,7 +88,7 @@
         body,
         deadline: began + time,
     };
-    let service = view.services.get(route.service.as_str()).ok_or(ResultCode::NoTarget)?;
+    let service = view.service(route.service.as_str()).ok_or(ResultCode::NoTarget)?;
     try_targets(shared, client, service, route, call).await
 }
 
@@ -94,7 +96,7 @@
     let host = request.headers().get("host").and_then(|value| value.to_str().ok());
     let host = host.ok_or(ResultCode::CallMalformed)?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-    view.router.find(&name, request.path()).ok_or(ResultCode::RouteNotFound)
+    view.router().find(&name, request.path()).ok_or(ResultCode::RouteNotFound)
 }
 
 /// Returns the time that the call may take: the route's, or what the caller has left.
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -7,8 +7,7 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, Message};
 use kingcuplift_config::{
-    Applied, Document, Feed, Kind, Resource, ResourceKey, ServiceSpec, Subscription, ZoneState,
-    decode_update,
+    Applied, Document, Feed, Kind, Resource, ResourceKey, ServiceSpec, Subscription, decode_update,
 };
 use kingcuplift_core::{Event, ServiceName, Version};
 use kingcuplift_keys::Role;
@@ -16,9 +15,7 @@
     FreshnessReply, FreshnessRequest, Hello, Target, TargetState, TargetUpdate, UpdateFrame,
     Upward, downward, upward,
 };
-use kingcuplift_traffic::{
-    Candidate, Lease, Leases, Limits, Merge, Router, TargetKey, TargetTable,
-};
+use kingcuplift_traffic::{Lease, Leases, Limits, Merge, TargetKey, TargetTable, View};
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
@@ -26,7 +23,7 @@
 use crate::link::Endpoint;
 use crate::metrics;
 use crate::node::gate::Gate;
-use crate::node::shared::{LocalTarget, Locals, NodeShared, ServiceView, View};
+use crate::node::shared::{LocalTarget, Locals, NodeShared};
 use crate::upstream::{FromAbove, LinkMeter, Upstream};
 
 /// Time between checks of leases.
@@ -100,8 +97,9 @@
     table: TargetTable,
     leases: Leases,
     incarnations: HashMap<TargetKey, u64>,
-    candidates: HashMap<TargetKey, Arc<Candidate>>,
-    router: Option<Arc<Router>>,
+    view: View,
+    /// Services whose targets have changed since the view was last updated.
+    changed: BTreeSet<SmolStr>,
     freshness: Freshness,
 }
 
@@ -127,8 +125,8 @@
             table: TargetTable::default(),
             leases: Leases::default(),
             incarnations: HashMap::new(),
-            candidates: HashMap::new(),
-            router: None,
+            view: View::default(),
+            changed: BTreeSet::new(),
             freshness: Freshness::Unproved,
         }
     }
@@ -178,10 +176,7 @@
             self.feed.apply(&update, &self.subscription).map_err(|error| error.to_string())
         });
         match applied {
-            Ok(Applied::InForce) => {
-                self.router = None;
-                self.refresh();
-            }
+            Ok(Applied::InForce) => self.refresh(),
             Ok(Applied::Stale) => {}
             Err(reason) => {
                 Event::UpdateRefused.emit(&[("reason", &reason)]);
@@ -192,15 +187,21 @@
 
     fn merge_targets(&mut self, update: TargetUpdate) {
         let now = monotonic_ms();
-        let before = self.table.position();
         for target in update.targets {
-            self.table.merge(target, now);
+            self.merge_target(target, now);
         }
-        if self.table.position() != before {
+        if !self.changed.is_empty() {
             self.refresh();
         }
     }
 
+    fn merge_target(&mut self, target: Target, now_ms: u64) {
+        let service = SmolStr::new(&target.service);
+        if self.table.merge(target, now_ms) == Merge::Changed {
+            self.changed.insert(service);
+        }
+    }
+
     fn proved_fresh(&mut self, reply: FreshnessReply) {
         if self.freshness != Freshness::Proved {
             self.freshness = Freshness::Needed(Version::new(reply.head));
@@ -216,16 +217,11 @@
             Freshness::Needed(_) => self.freshness = Freshness::Proved,
             Freshness::Proved => {}
         }
-        let document = self.feed.document();
-        let router = match &self.router {
-            Some(router) => Arc::clone(router),
-            None => Arc::new(Router::new(document)),
-        };
-        self.router = Some(Arc::clone(&router));
+        self.view.update(&self.feed, &self.table, &self.changed);
+        self.changed.clear();
         let version = self.feed.head();
-        let services = self.service_views();
         let before = self.shared.version();
-        self.shared.view.store(Some(Arc::new(View { version, router, services })));
+        self.shared.view.store(Some(Arc::new(self.view.clone())));
         self.update_gates();
         metrics::VERSION.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
         if version != before {
@@ -238,33 +234,6 @@
         self.send_above(upward::Body::Applied(self.shared.version().get()));
     }
 
-    /// Lists, for each service, the targets that new calls may go to.
-    fn service_views(&mut self) -> HashMap<String, ServiceView> {
-        let document = self.feed.document();
-        let mut views: HashMap<String, ServiceView> = HashMap::new();
-        for key in document.keys_of(Kind::Services) {
-            let Some(Resource::Service(spec)) = document.get(key).map(|s| &s.resource) else {
-                continue;
-            };
-            let view = ServiceView { spec: spec.clone(), candidates: Vec::new() };
-            views.insert(key.name.to_string(), view);
-        }
-        let closed = closed_zones(document);
-        let mut used: BTreeSet<TargetKey> = BTreeSet::new();
-        for (key, target) in self.table.present() {
-            let Some(view) = views.get_mut(key.service.as_str()) else { continue };
-            let serves = target.state() == TargetState::Ready
-                && !closed.contains(target.zone.as_str())
-                && carries_traffic(document, &key.service, &key.version);
-            if serves && let Some(candidate) = candidate(&mut self.candidates, key, target) {
-                used.insert(key.clone());
-                view.candidates.push(candidate);
-            }
-        }
-        self.candidates.retain(|key, _| used.contains(key));
-        views
-    }
-
     /// Makes the limits of the targets beside this node follow the configuration.
     fn update_gates(&self) {
         let locals = self.shared.locals.load();
@@ -354,7 +323,8 @@
             incarnation: self.incarnations.get(key).copied().unwrap_or_else(wall_us),
         };
         target.set_state(state);
-        if self.table.merge(target.clone(), monotonic_ms()) == Merge::Changed {
+        self.merge_target(target.clone(), monotonic_ms());
+        if !self.changed.is_empty() {
             self.refresh();
         }
         let update = TargetUpdate { targets: vec![target], full: false, position: 0 };
@@ -374,23 +344,6 @@
     }
 }
 
-/// Returns the candidate of a target, keeping what is known of its load.
-fn candidate(
-    known: &mut HashMap<TargetKey, Arc<Candidate>>,
-    key: &TargetKey,
-    target: &Target,
-) -> Option<Arc<Candidate>> {
-    let same = |held: &&Arc<Candidate>| held.peer == target.peer && held.slots == target.slots;
-    if let Some(held) = known.get(key).filter(same) {
-        return Some(Arc::clone(held));
-    }
-    let zone = target.zone.parse().ok()?;
-    let made = Candidate::new(key.clone(), zone, target.peer.clone(), target.slots);
-    let made = Arc::new(made);
-    known.insert(key.clone(), Arc::clone(&made));
-    Some(made)
-}
-
 fn service_spec<'a>(document: &'a Document, service: &str) -> Option<&'a ServiceSpec> {
     let key = ResourceKey::new(Kind::Services, service);
     match document.get(&key).map(|stored| &stored.resource) {
@@ -399,28 +352,6 @@
     }
 }
 
-/// Returns the availability zones that operators have taken out.
-fn closed_zones(document: &Document) -> BTreeSet<&str> {
-    let is_out = |key: &&ResourceKey| {
-        let resource = document.get(key).map(|stored| &stored.resource);
-        matches!(resource, Some(Resource::Zone(ZoneState::Out)))
-    };
-    document.keys_of(Kind::Zones).filter(is_out).map(|key| key.name.as_str()).collect()
-}
-
-/// Returns whether targets of `version` take calls of the service.
-///
-/// While a move of the service has no share yet, only the version it starts from does.
-fn carries_traffic(document: &Document, service: &str, version: &str) -> bool {
-    let key = ResourceKey::new(Kind::Services, service);
-    let moves = document.referrers(&key).filter_map(|referrer| document.get(referrer));
-    let from = moves.into_iter().find_map(|stored| match &stored.resource {
-        Resource::Move(spec) => Some(spec.from.as_str()),
-        _ => None,
-    });
-    from.is_none_or(|from| from == version)
-}
-
 impl Actor for NodeActor {
     type Context = Context<Self>;
 
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -5,28 +5,11 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kingcuplift_config::ServiceSpec;
 use kingcuplift_core::{NodeName, Version, ZoneName};
-use kingcuplift_traffic::{Candidate, RetryBudget, Router, TargetKey};
+use kingcuplift_traffic::{RetryBudget, TargetKey, View};
 
 use crate::node::gate::Gate;
 
-/// A service as calls see it.
-#[derive(Debug)]
-pub(crate) struct ServiceView {
-    pub(crate) spec: ServiceSpec,
-    /// Targets that new calls may go to.
-    pub(crate) candidates: Vec<Arc<Candidate>>,
-}
-
-/// All that calls need of one configuration version and the announced targets.
-#[derive(Debug)]
-pub(crate) struct View {
-    pub(crate) version: Version,
-    pub(crate) router: Arc<Router>,
-    pub(crate) services: HashMap<String, ServiceView>,
-}
-
 /// A target beside this node.
 #[derive(Debug)]
 pub(crate) struct LocalTarget {
@@ -66,7 +49,7 @@
 
     /// Returns the version in force, or 0 when there is none.
     pub fn version(&self) -> Version {
-        self.view.load().as_ref().map_or(Version::default(), |view| view.version)
+        self.view.load().as_ref().map_or(Version::default(), |view| view.version())
     }
 
     /// Refuses new calls from now on.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -9,6 +9,7 @@
 mod retry;
 mod router;
 mod table;
+mod view;
 
 pub use admission::{Admission, CallId, Decision, Limits, Release};
 pub use choice::{Candidate, choose};
@@ -17,3 +18,4 @@
 pub use retry::{Attempt, RetryBudget, may_retry};
 pub use router::{RouteMatch, Router};
 pub use table::{Merge, TargetKey, TargetTable};
+pub use view::{ServiceView, View};
--- a/crates/traffic/src/router.rs
+++ b/crates/traffic/src/router.rs
@@ -1,9 +1,9 @@
 //! Finds the route of a call by host and path.
 
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use kingcuplift_config::{Document, Resource, ResourceKey};
+use kingcuplift_config::{Document, Kind, Resource, ResourceKey};
 use kingcuplift_core::{Rank, ServiceName};
 use smol_str::SmolStr;
 
@@ -25,32 +25,32 @@
     pub timeout: Duration,
 }
 
-/// Routes of one version, by host.
-#[derive(Debug, Default)]
+/// Routes of one version, by host; a copy shares what is equal.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Router {
     /// Routes of a host, the longest prefix first.
-    hosts: HashMap<SmolStr, Vec<RouteMatch>>,
+    hosts: imbl::HashMap<SmolStr, Arc<[RouteMatch]>>,
 }
 
 impl Router {
     /// Makes a router from a document.
     pub fn new(document: &Document) -> Self {
-        let mut hosts: HashMap<SmolStr, Vec<RouteMatch>> = HashMap::new();
-        for (key, stored) in document.iter() {
-            let Resource::Route(route) = &stored.resource else { continue };
-            let entry = RouteMatch {
-                name: key.name.clone(),
-                prefix: route.prefix.clone(),
-                service: route.service.clone(),
-                rank: route.priority.as_ref().map_or(DEFAULT_RANK, |name| rank(document, name)),
-                timeout: route.timeout,
-            };
-            hosts.entry(route.host.clone()).or_default().push(entry);
+        let mut router = Self::default();
+        for host in document.hosts() {
+            router.refresh(document, host);
         }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        router
+    }
+
+    /// Takes over the routes of one host from a document.
+    pub fn refresh(&mut self, document: &Document, host: &SmolStr) {
+        let mut routes: Vec<RouteMatch> =
+            document.routes_of(host).filter_map(|key| route_match(document, key)).collect();
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        match routes.is_empty() {
+            true => drop(self.hosts.remove(host)),
+            false => drop(self.hosts.insert(host.clone(), routes.into())),
         }
-        Self { hosts }
     }
 
     /// Returns the route with the longest prefix that matches `path` on `host`.
@@ -61,8 +61,19 @@
     }
 }
 
+fn route_match(document: &Document, key: &ResourceKey) -> Option<RouteMatch> {
+    let Resource::Route(route) = &document.get(key)?.resource else { return None };
+    Some(RouteMatch {
+        name: key.name.clone(),
+        prefix: route.prefix.clone(),
+        service: route.service.clone(),
+        rank: route.priority.as_ref().map_or(DEFAULT_RANK, |name| rank(document, name)),
+        timeout: route.timeout,
+    })
+}
+
 fn rank(document: &Document, priority: &str) -> Rank {
-    let key = ResourceKey::new(kingcuplift_config::Kind::Priorities, priority);
+    let key = ResourceKey::new(Kind::Priorities, priority);
     match document.get(&key).map(|stored| &stored.resource) {
         Some(Resource::Priority(rank)) => *rank,
         _ => DEFAULT_RANK,
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -1,6 +1,6 @@
 //! Announced targets, as merged from all announcements.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 use kingcuplift_schema::control::{Target, TargetState};
@@ -58,6 +58,7 @@
 pub struct TargetTable {
     held: HashMap<TargetKey, Held>,
     order: BTreeMap<u64, TargetKey>,
+    services: HashMap<SmolStr, BTreeSet<TargetKey>>,
     position: u64,
 }
 
@@ -73,6 +74,7 @@
         }
         self.position += 1;
         self.order.insert(self.position, key.clone());
+        self.services.entry(key.service.clone()).or_default().insert(key.clone());
         let held = Held { target, position: self.position, changed_ms: now_ms };
         self.held.insert(key, held);
         Merge::Changed
@@ -94,6 +96,12 @@
         self.held.get(key).map(|held| &held.target)
     }
 
+    /// Returns the targets of one service, in order of address.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (&TargetKey, &Target)> {
+        let keys = self.services.get(service).into_iter().flatten();
+        keys.filter_map(|key| Some((key, &self.held.get(key)?.target)))
+    }
+
     /// Returns all targets that are not gone.
     pub fn present(&self) -> impl Iterator<Item = (&TargetKey, &Target)> {
         let all = self.held.iter().map(|(key, held)| (key, &held.target));
@@ -102,12 +110,15 @@
 
     /// Forgets targets that have been gone for long.
     pub fn forget_gone(&mut self, now_ms: u64) {
-        let order = &mut self.order;
-        self.held.retain(|_, held| {
+        let (order, services) = (&mut self.order, &mut self.services);
+        self.held.retain(|key, held| {
             let gone = held.target.state() == TargetState::Gone;
             let keep = !gone || now_ms < held.changed_ms + TOMBSTONE;
             if !keep {
                 order.remove(&held.position);
+                if let Some(keys) = services.get_mut(&key.service) {
+                    keys.remove(key);
+                }
             }
             keep
         });
--- /dev/null
+++ b/crates/traffic/src/view.rs
@@ -0,0 +1,166 @@
+//! All that calls need of one configuration version and the announced targets.
+//!
+//! A view follows changes at the cost of the change: only the hosts and services that a change concerns
+//! are prepared anew, and a copy shares everything else.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use kingcuplift_config::{
+    Document, Feed, Kind, Resource, ResourceKey, ServiceSpec, Stored, ZoneState,
+};
+use kingcuplift_core::Version;
+use kingcuplift_schema::control::{Target, TargetState};
+use smol_str::SmolStr;
+
+use crate::choice::Candidate;
+use crate::router::Router;
+use crate::table::{TargetKey, TargetTable};
+
+/// A service as calls see it.
+#[derive(Debug)]
+pub struct ServiceView {
+    /// What its targets bear.
+    pub spec: ServiceSpec,
+    /// Targets that new calls may go to.
+    pub candidates: Vec<Arc<Candidate>>,
+}
+
+/// Routes and services of one version.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    version: Version,
+    router: Router,
+    services: imbl::HashMap<SmolStr, Arc<ServiceView>>,
+}
+
+/// What a change concerns.
+#[derive(Debug, Default)]
+struct Concerned {
+    hosts: BTreeSet<SmolStr>,
+    services: BTreeSet<SmolStr>,
+    is_all: bool,
+}
+
+impl View {
+    /// Returns the version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the routes.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Returns one service.
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceView>> {
+        self.services.get(name)
+    }
+
+    /// Follows the configuration to its head, and the targets of the services in `changed`.
+    pub fn update(&mut self, feed: &Feed, table: &TargetTable, changed: &BTreeSet<SmolStr>) {
+        let document = feed.document();
+        let mut concerned = Concerned::default();
+        match feed.changes_since(self.version) {
+            Some(changes) => {
+                for (key, before) in changes {
+                    concerned.add(document, key, before);
+                }
+            }
+            None => concerned.is_all = true,
+        }
+        concerned.services.extend(changed.iter().cloned());
+        if concerned.is_all {
+            self.router = Router::new(document);
+            concerned.services.extend(self.services.keys().cloned());
+            let keys = document.keys_of(Kind::Services);
+            concerned.services.extend(keys.map(|key| key.name.clone()));
+        }
+        for host in &concerned.hosts {
+            self.router.refresh(document, host);
+        }
+        for name in &concerned.services {
+            self.refresh_service(document, table, name);
+        }
+        self.version = feed.head();
+    }
+
+    fn refresh_service(&mut self, document: &Document, table: &TargetTable, name: &SmolStr) {
+        let key = ResourceKey::new(Kind::Services, name);
+        let Some(Resource::Service(spec)) = document.get(&key).map(|stored| &stored.resource)
+        else {
+            self.services.remove(name);
+            return;
+        };
+        let before = self.services.get(name).cloned();
+        let known = before.as_ref().map(|view| view.candidates.as_slice()).unwrap_or_default();
+        let serving = starting_version(document, &key);
+        let candidates = table
+            .of_service(name)
+            .filter(|(_, target)| takes_calls(document, target, serving))
+            .filter_map(|(key, target)| candidate(known, key, target))
+            .collect();
+        let view = ServiceView { spec: spec.clone(), candidates };
+        self.services.insert(name.clone(), Arc::new(view));
+    }
+}
+
+impl Concerned {
+    /// Adds what a changed resource concerns, by its content before and now.
+    fn add(&mut self, document: &Document, key: &ResourceKey, before: Option<&Stored>) {
+        let now = document.get(key);
+        for stored in before.into_iter().chain(now) {
+            match &stored.resource {
+                Resource::Route(route) => drop(self.hosts.insert(route.host.clone())),
+                Resource::Service(_) => drop(self.services.insert(key.name.clone())),
+                Resource::Move(spec) => {
+                    self.services.insert(SmolStr::new(spec.service.as_str()));
+                }
+                Resource::Priority(_) => self.add_routes_of(document, key),
+                Resource::Zone(_) => self.is_all = true,
+            }
+        }
+    }
+
+    /// Adds the hosts whose routes refer to a priority.
+    fn add_routes_of(&mut self, document: &Document, priority: &ResourceKey) {
+        for route in document.referrers(priority) {
+            if let Some(Resource::Route(route)) = document.get(route).map(|s| &s.resource) {
+                self.hosts.insert(route.host.clone());
+            }
+        }
+    }
+}
+
+/// Returns the target version that a move of the service starts from.
+///
+/// While a move has no share yet, only that version takes calls.
+fn starting_version<'a>(document: &'a Document, service: &ResourceKey) -> Option<&'a str> {
+    let referrers = document.referrers(service).filter_map(|key| document.get(key));
+    referrers.into_iter().find_map(|stored| match &stored.resource {
+        Resource::Move(spec) => Some(spec.from.as_str()),
+        _ => None,
+    })
+}
+
+/// Returns whether new calls may go to a target.
+fn takes_calls(document: &Document, target: &Target, serving: Option<&str>) -> bool {
+    let key = ResourceKey::new(Kind::Zones, &target.zone);
+    let zone = document.get(&key).map(|stored| &stored.resource);
+    target.state() == TargetState::Ready
+        && zone != Some(&Resource::Zone(ZoneState::Out))
+        && serving.is_none_or(|version| version == target.version)
+}
+
+/// Returns the candidate of a target, keeping what is known of its load.
+fn candidate(known: &[Arc<Candidate>], key: &TargetKey, target: &Target) -> Option<Arc<Candidate>> {
+    let same = |held: &&Arc<Candidate>| {
+        held.key == *key && held.peer == target.peer && held.slots == target.slots
+    };
+    if let Some(held) = known.iter().find(same) {
+        return Some(Arc::clone(held));
+    }
+    let zone = target.zone.parse().ok()?;
+    Some(Arc::new(Candidate::new(key.clone(), zone, target.peer.clone(), target.slots)))
+}
