--- a/crates/daemon/examples/operators_load.rs
+++ b/crates/daemon/examples/operators_load.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,7 +39,7 @@
 #[actix_rt::main]
 async fn main() -> eyre::Result<()> {
     let flags: Flags = argh::from_env();
-    let syncs = flags.probe.as_ref().map(sync_rate).transpose()?;
+    let syncs = flags.probe.as_deref().map(sync_rate).transpose()?;
     let seen = Rc::new(RefCell::new(Histogram::<u64>::new(3)?));
     let failed = Rc::new(Cell::new(0_u64));
     let began = Instant::now();
@@ -64,7 +64,7 @@
 }
 
 /// Counts how many small writes a second the disk syncs, one after the other.
-fn sync_rate(folder: &PathBuf) -> std::io::Result<f64> {
+fn sync_rate(folder: &Path) -> std::io::Result<f64> {
     let path = folder.join("sync-probe");
     let mut file = std::fs::File::create(&path)?;
     let began = Instant::now();
--- a/crates/testing/src/site.rs
+++ b/crates/testing/src/site.rs
@@ -134,8 +134,22 @@
 
     /// Asks a process to stop in order.
     pub fn ask_stop(&self, name: &str) {
+        self.signal(name, "-TERM");
+    }
+
+    /// Stops a process from running until it is thawed; its connections go silent.
+    pub fn freeze(&self, name: &str) {
+        self.signal(name, "-STOP");
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&self, name: &str) {
+        self.signal(name, "-CONT");
+    }
+
+    fn signal(&self, name: &str, signal: &str) {
         let pid = self.running[name].id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        let sent = Command::new("kill").args([signal, &pid]).status();
         assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
@@ -175,7 +189,11 @@
 
     /// Runs the command line against all source members.
     pub fn command(&self, arguments: &[&str]) -> Output {
-        let sources: Vec<String> = self.http_of("source");
+        self.command_at(&self.http_of("source"), arguments)
+    }
+
+    /// Runs the command line against some source members.
+    pub fn command_at(&self, sources: &[String], arguments: &[&str]) -> Output {
         let patience: &[&str] = match arguments.first() {
             Some(&"--patience") => &[],
             _ => &["--patience", "30"],
