Learn from a target's own answers how many calls it bears

Cause: a target got all its slots at once, so one that falls over in its cold start was broken again and again. Ruled out, each measured: slowness alone as the sign (a target that breaks at 5 calls is not slow before); growth without a hold after a break. Cause of the rest: calls were sent with less time left than the target needs, and a target went on with cancelled ones. The rule 'a late call does not run' of admission_rules is now stricter: a call runs only if its deadline is later than now plus the average service time, and is refused only if it is not.

--- a/crates/daemon/examples/stand_in_target.rs
+++ b/crates/daemon/examples/stand_in_target.rs
@@ -44,6 +44,9 @@
     /// length of the cold start, in milliseconds; one call at a time runs during it
     #[argh(option, default = "0")]
     cold_ms: u64,
+    /// calls at a time above which a cold target sheds and begins its cold start anew; 0 means never
+    #[argh(option, default = "0")]
+    cold_breaks: u64,
     /// part of the calls that fail, from 0 to 1
     #[argh(option, default = "0.0")]
     fail_rate: f64,
@@ -65,7 +68,8 @@
 #[derive(Debug)]
 struct Target {
     flags: Flags,
-    began: Instant,
+    cold_since: Mutex<Instant>,
+    inside: AtomicU64,
     slots: Semaphore,
     cold: Semaphore,
     calls: AtomicU64,
@@ -79,7 +83,8 @@
     let flags: Flags = argh::from_env();
     let target = web::Data::new(Target {
         flags: flags.clone(),
-        began: Instant::now(),
+        cold_since: Mutex::new(Instant::now()),
+        inside: AtomicU64::new(0),
         slots: Semaphore::new(flags.slots as usize),
         cold: Semaphore::new(1),
         calls: AtomicU64::new(0),
@@ -97,6 +102,7 @@
     let server = HttpServer::new(app)
         .workers(1)
         .keep_alive(Duration::from_secs(75))
+        .h1_allow_half_closed(false)
         .disable_signals()
         .bind(&flags.listen)?
         .run();
@@ -166,7 +172,12 @@
         let mut counts = target.runs.lock().unwrap_or_else(PoisonError::into_inner);
         *counts.entry(key.to_owned()).or_default() += 1;
     }
+    let inside = Inside::enter(&target);
+    if breaks(&target) {
+        return HttpResponse::ServiceUnavailable().body("too many calls for a cold start");
+    }
     serve_time(&target).await;
+    drop(inside);
     let concerned = number >= flags.fail_after && request.path().starts_with(&flags.fail_path);
     if concerned && rand::rng().random_bool(flags.fail_rate.clamp(0.0, 1.0)) {
         let mut since = target.failing_since.lock().unwrap_or_else(PoisonError::into_inner);
@@ -181,10 +192,40 @@
         .json(json!({ "path": request.path(), "call": call, "bytes": body.len() }))
 }
 
+/// Counts a call inside the target until dropped.
+struct Inside<'a>(&'a Target);
+
+impl<'a> Inside<'a> {
+    fn enter(target: &'a Target) -> Self {
+        target.inside.fetch_add(1, Ordering::Relaxed);
+        Self(target)
+    }
+}
+
+impl Drop for Inside<'_> {
+    fn drop(&mut self) {
+        self.0.inside.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn is_cold(target: &Target) -> bool {
+    let since = *target.cold_since.lock().unwrap_or_else(PoisonError::into_inner);
+    since.elapsed() < Duration::from_millis(target.flags.cold_ms)
+}
+
+/// Returns whether a cold target has more calls than it bears; its cold start then begins anew.
+fn breaks(target: &Target) -> bool {
+    let most = target.flags.cold_breaks;
+    if most == 0 || !is_cold(target) || target.inside.load(Ordering::Relaxed) <= most {
+        return false;
+    }
+    *target.cold_since.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    true
+}
+
 /// Takes the time that a call takes, in a slot.
 async fn serve_time(target: &Target) {
-    let cold = target.began.elapsed() < Duration::from_millis(target.flags.cold_ms);
-    let _cold = match cold {
+    let _cold = match is_cold(target) {
         true => target.cold.acquire().await.ok(),
         false => None,
     };
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -39,6 +39,7 @@
     };
     let server = HttpServer::new(app)
         .workers(threads)
+        .h1_allow_half_closed(false)
         .shutdown_timeout(STOP_LIMIT)
         .disable_signals()
         .bind(address)
@@ -87,6 +88,7 @@
         headers,
         body,
         deadline: began + time,
+        route: route.name.clone(),
     };
     let service = view.service(route.service.as_str()).ok_or(ResultCode::NoTarget)?;
     try_targets(shared, client, service, route, call).await
@@ -170,7 +172,7 @@
         true => hand_over(shared, client, &candidate.key, route.rank, call).await,
         false => {
             let mut call = call.clone();
-            write_envelope(&mut call.headers, &candidate.key, route.rank);
+            write_envelope(&mut call.headers, &candidate.key, route.rank, &route.name);
             let answer = forward::send(client, &candidate.peer, &call).await;
             answer.and_then(unwrap_refusal)
         }
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -8,6 +8,7 @@
 use awc::error::{PayloadError, SendRequestError};
 use bytes::Bytes;
 use kingcuplift_core::{ByteSize, ResultCode};
+use smol_str::SmolStr;
 
 /// Largest body of a call.
 pub(crate) const MAX_CALL: ByteSize = ByteSize::mib(4);
@@ -42,6 +43,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) deadline: Instant,
+    /// Name of the route.
+    pub(crate) route: SmolStr,
 }
 
 impl Call {
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use kingcuplift_core::{Rank, ResultCode};
-use kingcuplift_traffic::{Admission, CallId, Decision, Limits, Release};
+use kingcuplift_traffic::{
+    Admission, CallId, ConcurrencyLimit, Decision, Limits, Release, Response,
+};
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use crate::clock::monotonic_us;
@@ -16,6 +19,9 @@
 #[derive(Debug)]
 struct State {
     admission: Admission,
+    /// Calls that the target bears at present, at most its slots.
+    bearing: ConcurrencyLimit,
+    queue: u32,
     waiters: HashMap<CallId, oneshot::Sender<Verdict>>,
     next: CallId,
 }
@@ -31,6 +37,14 @@
 pub(crate) struct Permit {
     gate: Arc<Gate>,
     began: Instant,
+    learnt: Option<(SmolStr, Response)>,
+}
+
+impl Permit {
+    /// Gives the slot back and tells what the target made of the call.
+    pub(crate) fn finish(mut self, route: &SmolStr, response: Response) {
+        self.learnt = Some((route.clone(), response));
+    }
 }
 
 /// A place in the queue, given back when dropped.
@@ -44,13 +58,23 @@
 
 impl Gate {
     pub(crate) fn new(limits: Limits) -> Self {
-        let state = State { admission: Admission::new(limits), waiters: HashMap::new(), next: 0 };
+        let bearing = ConcurrencyLimit::new(limits.slots);
+        let first = Limits { slots: bearing.limit(), queue: limits.queue };
+        let state = State {
+            admission: Admission::new(first),
+            bearing,
+            queue: limits.queue,
+            waiters: HashMap::new(),
+            next: 0,
+        };
         Self { state: Mutex::new(state) }
     }
 
     pub(crate) fn set_limits(&self, limits: Limits) {
         let mut state = self.lock();
-        state.admission.set_limits(limits);
+        state.bearing.set_slots(limits.slots);
+        state.queue = limits.queue;
+        state.follow_bearing();
         let released = state.admission.release(monotonic_us());
         state.dispatch(released);
     }
@@ -110,12 +134,19 @@
     }
 
     fn permit(self: &Arc<Self>) -> Permit {
-        Permit { gate: Arc::clone(self), began: Instant::now() }
+        Permit { gate: Arc::clone(self), began: Instant::now(), learnt: None }
     }
 
-    fn finish(&self, service: Duration) {
+    /// Takes a slot back; a call that never reached the target teaches nothing.
+    fn finish(&self, service: Duration, learnt: Option<(SmolStr, Response)>) {
+        let (time_us, now_us) = (service.as_micros() as u64, monotonic_us());
         let mut state = self.lock();
-        let released = state.admission.finish(service.as_micros() as u64, monotonic_us());
+        if let Some((route, response)) = learnt {
+            let running = state.admission.running();
+            state.bearing.record(&route, response, time_us, running, now_us);
+            state.follow_bearing();
+        }
+        let released = state.admission.finish(time_us, now_us);
         state.dispatch(released);
     }
 
@@ -125,6 +156,12 @@
 }
 
 impl State {
+    /// Makes admission follow what the target bears.
+    fn follow_bearing(&mut self) {
+        let limits = Limits { slots: self.bearing.limit(), queue: self.queue };
+        self.admission.set_limits(limits);
+    }
+
     /// Tells waiting calls what became of them.
     fn dispatch(&mut self, released: Vec<Release>) {
         for release in released {
@@ -151,13 +188,13 @@
         let has_slot = !waited && matches!(self.verdict.try_recv(), Ok(Ok(())));
         drop(state);
         if has_slot {
-            self.gate.finish(Duration::ZERO);
+            self.gate.finish(Duration::ZERO, None);
         }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.gate.finish(self.began.elapsed());
+        self.gate.finish(self.began.elapsed(), self.learnt.take());
     }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use actix_web::dev::Server;
+use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use awc::Client;
 use kingcuplift_core::{Rank, ResultCode};
-use kingcuplift_traffic::TargetKey;
+use kingcuplift_traffic::{Response, TargetKey};
 use smol_str::SmolStr;
 
 use crate::error::StartError;
@@ -24,6 +25,10 @@
 pub(crate) const VERSION_HEADER: &str = "kingcuplift-version";
 /// Header with the call's rank.
 pub(crate) const RANK_HEADER: &str = "kingcuplift-rank";
+/// Header that names the route of a call between nodes.
+const ROUTE_HEADER: &str = "kingcuplift-route";
+/// Statuses by which a target says that it has too much to do.
+const SHED: [StatusCode; 2] = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
 /// Time after which an unused connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Time for calls in flight at a stop, in seconds.
@@ -45,6 +50,7 @@
     let server = HttpServer::new(app)
         .workers(threads)
         .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
         .shutdown_timeout(STOP_LIMIT)
         .disable_signals()
         .bind(address)
@@ -59,7 +65,8 @@
     client: web::Data<Client>,
 ) -> HttpResponse {
     let began = Instant::now();
-    let Some((key, rank, time)) = read_envelope(request.headers(), &shared) else {
+    let Some(Envelope { key, rank, time, route }) = read_envelope(request.headers(), &shared)
+    else {
         let detail = "the call lacks the headers of a call between nodes";
         return Problem::new(ResultCode::CallMalformed, detail).into_response();
     };
@@ -68,7 +75,7 @@
         return Problem::new(ResultCode::BodyTooLarge, detail).into_response();
     };
     let mut headers = forward::end_to_end(request.headers());
-    for name in [SERVICE_HEADER, VERSION_HEADER, RANK_HEADER] {
+    for name in [SERVICE_HEADER, VERSION_HEADER, RANK_HEADER, ROUTE_HEADER] {
         headers.remove(name);
     }
     let call = Call {
@@ -77,6 +84,7 @@
         headers,
         body,
         deadline: began + time,
+        route,
     };
     respond(hand_over(&shared, &client, &key, rank, &call).await)
 }
@@ -106,12 +114,22 @@
 ) -> Result<Answer, ResultCode> {
     let local = shared.locals.load().get(key).cloned().ok_or(ResultCode::NoTarget)?;
     let permit = local.gate.enter(rank, call.time_left()).await?;
-    let mut answer = forward::send(client, &local.address, call).await?;
-    drop(permit);
+    let outcome = forward::send(client, &local.address, call).await;
+    permit.finish(&call.route, response_of(&outcome));
+    let mut answer = outcome?;
     answer.headers.remove(CODE_HEADER);
     Ok(answer)
 }
 
+/// Returns what a call's outcome says of the target.
+fn response_of(outcome: &Result<Answer, ResultCode>) -> Response {
+    match outcome {
+        Ok(answer) if SHED.contains(&answer.status) => Response::Shed,
+        Ok(_) | Err(ResultCode::AnswerTooLarge) => Response::Answered,
+        Err(_) => Response::Lost,
+    }
+}
+
 /// Makes the HTTP answer of a call.
 pub(crate) fn respond(outcome: Result<Answer, ResultCode>) -> HttpResponse {
     let answer = match outcome {
@@ -131,7 +149,12 @@
 }
 
 /// Adds the headers of a call between nodes.
-pub(crate) fn write_envelope(headers: &mut HeaderMap, key: &TargetKey, rank: Rank) {
+pub(crate) fn write_envelope(
+    headers: &mut HeaderMap,
+    key: &TargetKey,
+    rank: Rank,
+    route: &SmolStr,
+) {
     let mut insert = |name: &'static str, text: &str| {
         if let Ok(value) = HeaderValue::from_str(text) {
             headers.insert(HeaderName::from_static(name), value);
@@ -140,9 +163,18 @@
     insert(SERVICE_HEADER, &key.service);
     insert(VERSION_HEADER, &key.version);
     insert(RANK_HEADER, &rank.to_string());
+    insert(ROUTE_HEADER, route);
+}
+
+/// What a call between nodes says besides the call itself.
+struct Envelope {
+    key: TargetKey,
+    rank: Rank,
+    time: Duration,
+    route: SmolStr,
 }
 
-fn read_envelope(headers: &HeaderMap, shared: &NodeShared) -> Option<(TargetKey, Rank, Duration)> {
+fn read_envelope(headers: &HeaderMap, shared: &NodeShared) -> Option<Envelope> {
     let text = |name: &str| headers.get(name)?.to_str().ok();
     let key = TargetKey {
         service: SmolStr::new(text(SERVICE_HEADER)?),
@@ -151,5 +183,6 @@
     };
     let rank = text(RANK_HEADER)?.parse().ok()?;
     let millis = text(TIMEOUT_HEADER)?.parse().ok()?;
-    Some((key, rank, Duration::from_millis(millis)))
+    let route = SmolStr::new(text(ROUTE_HEADER)?);
+    Some(Envelope { key, rank, time: Duration::from_millis(millis), route })
 }
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -40,7 +40,7 @@
 pub enum Release {
     /// The call has the slot.
     Run(CallId),
-    /// The call's deadline has passed.
+    /// The call can't be answered before its deadline.
     Expired(CallId),
 }
 
@@ -159,7 +159,7 @@
             let Some(place) = self.next_place() else { break };
             let Some(call) = self.waiting.remove(&place) else { break };
             self.places.remove(&call.id);
-            if now_us >= call.deadline_us {
+            if now_us + self.service_us >= call.deadline_us {
                 released.push(Release::Expired(call.id));
                 continue;
             }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod choice;
+mod concurrency;
 mod handshakes;
 mod lease;
 mod retry;
@@ -13,6 +14,7 @@
 
 pub use admission::{Admission, CallId, Decision, Limits, Release};
 pub use choice::{Candidate, choose};
+pub use concurrency::{ConcurrencyLimit, Response};
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
 pub use retry::{Attempt, RetryBudget, may_retry};
--- a/crates/traffic/tests/admission_rules.rs
+++ b/crates/traffic/tests/admission_rules.rs
@@ -47,6 +47,8 @@
     running: BTreeSet<CallId>,
     waiting: BTreeMap<CallId, Waiting>,
     releases: usize,
+    /// Average service time, as stated: an eighth of it is the newest.
+    average: u64,
     now: u64,
 }
 
@@ -80,7 +82,7 @@
             match release {
                 Release::Run(id) => {
                     let call = self.waiting.remove(&id).expect("a released call waited");
-                    assert!(self.now < call.deadline, "a late call does not run");
+                    assert!(self.now + self.average < call.deadline, "a late call does not run");
                     let oldest = self.releases % FAIRNESS_INTERVAL == FAIRNESS_INTERVAL - 1;
                     let better = self.waiting.values().any(|w| w.rank < call.rank);
                     assert!(oldest || !better, "rank goes first");
@@ -89,7 +91,8 @@
                 }
                 Release::Expired(id) => {
                     let call = self.waiting.remove(&id).expect("an expired call waited");
-                    assert!(self.now >= call.deadline, "a refusal for lateness is true");
+                    let answered = self.now + self.average;
+                    assert!(answered >= call.deadline, "a refusal for lateness is true");
                 }
             }
         }
@@ -118,6 +121,7 @@
             running: BTreeSet::new(),
             waiting: BTreeMap::new(),
             releases: 0,
+            average: 0,
             now: 0,
         };
         for (id, step) in steps.iter().enumerate() {
@@ -130,6 +134,10 @@
                 Step::Finish { service_us } => {
                     if load.running.pop_first().is_some() {
                         let released = load.admission.finish(*service_us, load.now);
+                        load.average = match load.average {
+                            0 => *service_us,
+                            average => (average * 7 + service_us) / 8,
+                        };
                         load.released(released);
                     }
                 }
@@ -153,6 +161,7 @@
         }
         while load.running.pop_first().is_some() {
             let released = load.admission.finish(1, load.now);
+            load.average = if load.average == 0 { 1 } else { (load.average * 7 + 1) / 8 };
             load.released(released);
         }
         prop_assert!(load.admission.is_idle(), "nothing leaks");
--- /dev/null
+++ b/crates/traffic/tests/concurrency_limit.rs
@@ -0,0 +1,163 @@
+//! The limit that a node learns for a target, against simple targets.
+
+use kingcuplift_traffic::{ConcurrencyLimit, Response};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use smol_str::SmolStr;
+
+/// Seed of the random answers.
+const SEED: u64 = 11;
+/// Slots that the target announces.
+const SLOTS: u32 = 20;
+/// Time of a call in a warm target, in microseconds.
+const WARM_US: u64 = 5_000;
+
+fn route() -> SmolStr {
+    SmolStr::new("bookings")
+}
+
+/// Keeps the target busy for some rounds; `answer` says what a call comes to when so many run.
+fn rounds(
+    limit: &mut ConcurrencyLimit,
+    count: u64,
+    now_us: &mut u64,
+    answer: impl Fn(u32) -> (Response, u64),
+) {
+    for _ in 0..count {
+        let running = limit.limit();
+        let (response, time_us) = answer(running);
+        *now_us += time_us;
+        for _ in 0..running {
+            limit.record(&route(), response, time_us, running, *now_us);
+        }
+    }
+}
+
+/// A warm target takes the same time whatever it runs.
+fn warm(_: u32) -> (Response, u64) {
+    (Response::Answered, WARM_US)
+}
+
+/// A cold target runs one call after the other.
+fn cold(running: u32) -> (Response, u64) {
+    (Response::Answered, WARM_US * 4 * u64::from(running))
+}
+
+#[test]
+fn fresh_target_starts_low() {
+    let limit = ConcurrencyLimit::new(SLOTS);
+    assert_eq!(limit.limit(), 2);
+}
+
+#[test]
+fn good_answers_open_all_slots() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    let mut now = 0;
+    rounds(&mut limit, 5, &mut now, warm);
+    assert_eq!(limit.limit(), SLOTS, "doubles with each round");
+}
+
+#[test]
+fn cold_fallback_closes_slots() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    let mut now = 0;
+    rounds(&mut limit, 50, &mut now, warm);
+    rounds(&mut limit, 30, &mut now, cold);
+    assert!(limit.limit() <= 3, "a cold target keeps {} calls", limit.limit());
+    rounds(&mut limit, 400, &mut now, warm);
+    assert_eq!(limit.limit(), SLOTS, "it warms up again");
+}
+
+/// A target that is cold for 3 s and begins anew whenever it gets more than four calls at a time.
+#[test]
+fn cold_target_is_left_alone() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    let (mut now, mut cold_since, mut breaks) = (0, 0, 0);
+    while now < 20_000_000 {
+        let running = limit.limit();
+        let is_cold = now - cold_since < 3_000_000;
+        let is_broken = is_cold && running > 4;
+        let (response, time_us) = match (is_broken, is_cold) {
+            (true, _) => (Response::Shed, 1_000),
+            (false, true) => (Response::Answered, 10_000 * u64::from(running)),
+            (false, false) => (Response::Answered, 10_000),
+        };
+        now += time_us;
+        if is_broken {
+            cold_since = now;
+            breaks += 1;
+        }
+        for _ in 0..running {
+            limit.record(&route(), response, time_us, running, now);
+        }
+    }
+    assert!(breaks <= 2, "the target was broken {breaks} times");
+    assert_eq!(limit.limit(), SLOTS);
+}
+
+#[test]
+fn shedding_halves() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    let mut now = 0;
+    rounds(&mut limit, 50, &mut now, warm);
+    limit.record(&route(), Response::Shed, 100, SLOTS, now);
+    assert_eq!(limit.limit(), SLOTS / 2);
+    limit.record(&route(), Response::Shed, 100, SLOTS, now + 1);
+    assert_eq!(limit.limit(), SLOTS / 2, "calls that were shed together count once");
+    limit.record(&route(), Response::Lost, 100, SLOTS, now + 60_000);
+    assert_eq!(limit.limit(), SLOTS / 4);
+}
+
+#[test]
+fn slow_route_is_no_overload() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    let slow = SmolStr::new("recordings");
+    for number in 0..1_000 {
+        limit.record(&route(), Response::Answered, 1_000, SLOTS, number * 1_000);
+        limit.record(&slow, Response::Answered, 300_000, SLOTS, number * 1_000);
+    }
+    assert_eq!(limit.limit(), SLOTS);
+}
+
+#[test]
+fn single_outliers_are_ignored() {
+    let mut limit = ConcurrencyLimit::new(SLOTS);
+    for number in 0..1_000 {
+        let time_us = if number % 10 == 0 { 200_000 } else { 1_000 };
+        limit.record(&route(), Response::Answered, time_us, SLOTS, number * 1_000);
+    }
+    assert_eq!(limit.limit(), SLOTS);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn stays_within_slots(
+        slots in 1..50_u32,
+        answers in prop::collection::vec((0..3_u8, 0..2_000_000_u64, 1..50_u32, 0..4_u8), 1..500),
+    ) {
+        let mut limit = ConcurrencyLimit::new(slots);
+        let mut now = 0;
+        for (kind, time_us, running, route) in answers {
+            now += time_us / 10;
+            let response = match kind {
+                0 => Response::Shed,
+                1 => Response::Lost,
+                _ => Response::Answered,
+            };
+            let before = limit.limit();
+            limit.record(&SmolStr::new(format!("r{route}")), response, time_us, running, now);
+            prop_assert!((1..=slots).contains(&limit.limit()));
+            prop_assert!(limit.limit() <= before + 1, "one answer opens one slot at most");
+            if response != Response::Answered {
+                prop_assert!(limit.limit() <= before);
+            }
+        }
+    }
+}
