Let targets expire whose relay and node are lost together

Cause: the source kept the targets of a lost relay for ever. When a zone dies at once, its nodes can't announce anything any more, and every caller elsewhere keeps trying them. Ruled out: expiring at once when a relay leaves (its nodes need seconds to move), and counting the grace while most relays are away (an outage at the source would empty every target list). Relay and source now share one roster of targets and sessions; the relay's own copy of that logic is gone.

--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -1,6 +1,5 @@
 //! Connects the source above with the nodes below.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,10 +8,10 @@
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
-    Downward, FreshnessReply, FreshnessRequest, Hello, Progress, Redirect, Target, TargetState,
-    TargetUpdate, UpdateFrame, Upward, downward, upward,
+    Downward, FreshnessReply, FreshnessRequest, Hello, Progress, Redirect, Target, TargetUpdate,
+    UpdateFrame, Upward, downward, upward,
 };
-use kingcuplift_traffic::{HandshakeLimit, Merge, TargetKey, TargetTable};
+use kingcuplift_traffic::{HandshakeLimit, Learnt, Merge, Roster, TargetKey};
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
@@ -45,14 +44,6 @@
     pub(crate) linked: bool,
 }
 
-/// A target announced through this relay.
-#[derive(Debug, Clone)]
-struct Owned {
-    session: SessionId,
-    /// Time at which its node left, in milliseconds.
-    left_at: Option<u64>,
-}
-
 /// Actor of the relay role.
 #[derive(Debug)]
 pub struct RelayActor {
@@ -62,8 +53,7 @@
     above: Option<mpsc::Sender<Upward>>,
     feed: Feed,
     fanout: Fanout,
-    targets: TargetTable,
-    owned: HashMap<TargetKey, Owned>,
+    targets: Roster,
     /// Nodes that wait for the next proof of freshness.
     waiting: Vec<(SessionId, u64)>,
     /// Nodes that the request in flight will answer.
@@ -89,8 +79,7 @@
             above: None,
             feed: Feed::default(),
             fanout: Fanout::default(),
-            targets: TargetTable::default(),
-            owned: HashMap::new(),
+            targets: Roster::new(NODE_GRACE),
             waiting: Vec::new(),
             asked: Vec::new(),
             request: 0,
@@ -114,8 +103,7 @@
             services: Vec::new(),
         };
         self.send_above(upward::Body::Hello(hello));
-        let owned: Vec<Target> =
-            self.owned.keys().filter_map(|key| self.targets.get(key)).cloned().collect();
+        let owned = self.targets.owned().cloned().collect();
         let update = TargetUpdate { targets: owned, full: true, position: 0 };
         self.send_above(upward::Body::Targets(update));
         self.waiting.append(&mut self.asked);
@@ -148,58 +136,55 @@
         }
     }
 
-    /// Merges targets and returns those that were new.
+    /// Merges targets from above, and contradicts those that are gone there and connected here.
     fn merge_targets(&mut self, targets: Vec<Target>) {
         let now = monotonic_ms();
-        let before = self.targets.position();
+        let before = self.targets.table().position();
+        let mut contradicted = Vec::new();
         for target in targets {
-            self.targets.merge(target, now);
+            if let Learnt::Contradicted(target) = self.targets.learn(target, now) {
+                contradicted.push(target);
+            }
         }
-        if self.targets.position() != before {
+        if self.targets.table().position() != before {
             self.fanout.wake_all();
         }
+        self.publish(contradicted);
     }
 
     fn announced(&mut self, session: SessionId, update: TargetUpdate) {
         let now = monotonic_ms();
         let mut changed = Vec::new();
         for target in update.targets {
-            let key = TargetKey::of(&target);
-            match target.state() {
-                TargetState::Gone => drop(self.owned.remove(&key)),
-                _ => drop(self.owned.insert(key, Owned { session, left_at: None })),
-            }
-            if self.targets.merge(target.clone(), now) == Merge::Changed {
+            if self.targets.announce(session, target.clone(), now) == Merge::Changed {
                 changed.push(target);
             }
         }
         if !changed.is_empty() {
             self.fanout.wake_all();
-            let update = TargetUpdate { targets: changed, full: false, position: 0 };
+        }
+        self.publish(changed);
+    }
+
+    /// Tells the source of changed targets.
+    fn publish(&mut self, targets: Vec<Target>) {
+        if !targets.is_empty() {
+            let update = TargetUpdate { targets, full: false, position: 0 };
             self.send_above(upward::Body::Targets(update));
         }
     }
 
     /// Declares the targets of nodes that have been away for too long as gone.
     fn expire_nodes(&mut self) {
-        let now = monotonic_ms();
-        let away = |owned: &Owned| owned.left_at.is_some_and(|at| now >= at + NODE_GRACE);
-        let expired: Vec<TargetKey> =
-            self.owned.iter().filter(|(_, o)| away(o)).map(|(key, _)| key.clone()).collect();
-        let mut gone = Vec::new();
-        for key in expired {
-            self.owned.remove(&key);
-            let Some(mut target) = self.targets.get(&key).cloned() else { continue };
-            Event::TargetExpired.emit(&[("target", &key)]);
-            target.set_state(TargetState::Gone);
-            gone.push(target);
+        let gone = self.targets.expire(monotonic_ms());
+        if gone.is_empty() {
+            return;
         }
-        if !gone.is_empty() {
-            self.merge_targets(gone.clone());
-            let update = TargetUpdate { targets: gone, full: false, position: 0 };
-            self.send_above(upward::Body::Targets(update));
+        for target in &gone {
+            Event::TargetExpired.emit(&[("target", &TargetKey::of(target))]);
         }
-        self.targets.forget_gone(now);
+        self.fanout.wake_all();
+        self.publish(gone);
     }
 
     fn ask_freshness(&mut self) {
@@ -302,7 +287,7 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        self.fanout.pull(pull.0, &self.feed, &self.targets)
+        self.fanout.pull(pull.0, &self.feed, self.targets.table())
     }
 }
 
@@ -333,10 +318,7 @@
 
     fn handle(&mut self, leave: Leave, _: &mut Self::Context) {
         let Some(node) = self.fanout.leave(leave.0) else { return };
-        let now = monotonic_ms();
-        for owned in self.owned.values_mut().filter(|owned| owned.session == leave.0) {
-            owned.left_at = Some(now);
-        }
+        self.targets.leave(leave.0, monotonic_ms());
         log::debug!("node {} left", node.name);
     }
 }
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -1,6 +1,6 @@
 //! Connects the replicated log, the catalog and the relays.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
@@ -13,11 +13,9 @@
     Refusal, Replica, Restored, RoleName, Store, Timing, Token,
 };
 use kingcuplift_schema::Message as _;
-use kingcuplift_schema::control::{
-    Downward, FreshnessReply, Redirect, Target, TargetUpdate, upward,
-};
+use kingcuplift_schema::control::{Downward, FreshnessReply, Redirect, TargetUpdate, upward};
 use kingcuplift_schema::quorum::{Entry, Membership, Peer, Snapshot, entry, peer};
-use kingcuplift_traffic::{Merge, TargetTable};
+use kingcuplift_traffic::{Roster, TargetKey};
 use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
 
@@ -42,6 +40,8 @@
 const SNAPSHOT_ENTRIES: u64 = 10_000;
 /// Time after which a relay asks again when no leader is known, in milliseconds.
 const REDIRECT_RETRY: u64 = 200;
+/// Time for which a relay may be away before its targets count as gone, in milliseconds.
+const RELAY_GRACE: u64 = 30_000;
 /// Time between offers to form a group, in milliseconds.
 const OFFER_INTERVAL: Millis = 200;
 
@@ -126,7 +126,9 @@
     token: Token,
     fanout: Fanout,
     tracker: Tracker,
-    targets: TargetTable,
+    targets: Roster,
+    /// Names of the relays that have been connected to this leader.
+    relays: BTreeSet<NodeName>,
     freshness: Vec<Pending>,
     offered_at: Millis,
     snapshot_at: u64,
@@ -174,7 +176,8 @@
             token: 0,
             fanout: Fanout::default(),
             tracker: Tracker::default(),
-            targets: TargetTable::default(),
+            targets: Roster::new(RELAY_GRACE),
+            relays: BTreeSet::new(),
             freshness: Vec::new(),
             offered_at: 0,
             snapshot_at: 0,
@@ -299,7 +302,8 @@
         self.fanout.clear();
         self.tracker.clear();
         self.freshness.clear();
-        self.targets = TargetTable::default();
+        self.targets = Roster::new(RELAY_GRACE);
+        self.relays.clear();
     }
 
     fn send(&mut self, to: MemberId, message: Box<Peer>) {
@@ -366,7 +370,7 @@
             }
             Stage::Failed => {}
         }
-        self.targets.forget_gone(now);
+        self.expire_targets(now);
     }
 
     fn tick_forming(&mut self, now: Millis) {
@@ -446,11 +450,29 @@
         self.step(Input::SnapshotTaken { index, state });
     }
 
-    fn merge_targets(&mut self, update: TargetUpdate) {
+    fn merge_targets(&mut self, session: SessionId, update: TargetUpdate) {
         let now = monotonic_ms();
-        let merge = |target: Target| self.targets.merge(target, now) == Merge::Changed;
-        let changed = update.targets.into_iter().map(merge).fold(false, |any, one| any | one);
-        if changed {
+        let before = self.targets.table().position();
+        for target in update.targets {
+            self.targets.announce(session, target, now);
+        }
+        if self.targets.table().position() != before {
+            self.fanout.wake_all();
+        }
+    }
+
+    /// Declares targets gone whose relay has been away for too long.
+    ///
+    /// While most of the relays are away, the fault is more likely on this side, and nobody expires.
+    fn expire_targets(&mut self, now: Millis) {
+        if self.fanout.len() * 2 < self.relays.len() {
+            self.targets.hold(now);
+        }
+        let gone = self.targets.expire(now);
+        for target in &gone {
+            Event::TargetExpired.emit(&[("target", &TargetKey::of(target))]);
+        }
+        if !gone.is_empty() {
             self.fanout.wake_all();
         }
     }
@@ -584,7 +606,8 @@
     type Result = Answer;
 
     fn handle(&mut self, message: Ask, _: &mut Self::Context) -> Answer {
-        let view = View { catalog: &self.catalog, tracker: &self.tracker, targets: &self.targets };
+        let view =
+            View { catalog: &self.catalog, tracker: &self.tracker, targets: self.targets.table() };
         match self.not_leading() {
             Some(answer) => answer,
             None => view.answer(&message.0),
@@ -639,6 +662,7 @@
         }
         let grant = join.grant;
         Event::LinkOpened.emit(&[("peer", &grant.name), ("member", &self.name)]);
+        self.relays.insert(grant.name.clone());
         let (session, wake) =
             self.fanout.join(grant.name, grant.zone, &join.hello, self.catalog.feed());
         Ok(Joined { session, wake })
@@ -649,7 +673,7 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        self.fanout.pull(pull.0, self.catalog.feed(), &self.targets)
+        self.fanout.pull(pull.0, self.catalog.feed(), self.targets.table())
     }
 }
 
@@ -663,7 +687,7 @@
         }
         match message.body {
             upward::Body::Progress(progress) => self.tracker.update(session, progress),
-            upward::Body::Targets(update) => self.merge_targets(update),
+            upward::Body::Targets(update) => self.merge_targets(session, update),
             upward::Body::Freshness(request) => {
                 self.freshness.push(Pending { session, request: request.request });
                 self.answer_freshness(monotonic_ms());
@@ -679,6 +703,7 @@
 
     fn handle(&mut self, leave: Leave, _: &mut Self::Context) {
         self.fanout.leave(leave.0);
+        self.targets.leave(leave.0, monotonic_ms());
         self.tracker.remove(leave.0);
     }
 }
