--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -37,6 +37,14 @@
     },
 }
 
+impl Outcome {
+    /// Makes a refusal whose code is that of the first fault.
+    pub fn refused(faults: Faults) -> Self {
+        let first = faults.0.first().and_then(|fault| ResultCode::from_number(fault.code));
+        Self::Refused { code: first.unwrap_or(ResultCode::PatchMalformed), faults: faults.0 }
+    }
+}
+
 /// Facts about one accepted version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionInfo {
@@ -204,8 +212,8 @@
                 format!("version {base} can't be a base; use {} to {head}", self.oldest_base());
             return Err(refused(ResultCode::BaseUnknown, "base", &detail));
         }
-        let patch = Patch::parse(&submission.patch).map_err(refused_all)?;
-        let staged = patch.stage(self.feed.document(), head.next()).map_err(refused_all)?;
+        let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
+        let staged = patch.stage(self.feed.document(), head.next()).map_err(Outcome::refused)?;
         self.check_base(base, &staged)?;
         Ok(staged)
     }
@@ -224,7 +232,7 @@
         }
         match faults.is_empty() {
             true => Ok(()),
-            false => Err(refused_all(faults)),
+            false => Err(Outcome::refused(faults)),
         }
     }
 
@@ -268,10 +276,10 @@
     fn restore_outcome(&mut self, outcome: wire::Outcome) -> Result<(), CatalogError> {
         let restored = match outcome.version {
             0 => {
-                let code = ResultCode::ALL.iter().find(|c| u32::from(c.number()) == outcome.code);
+                let code = u16::try_from(outcome.code).ok().and_then(ResultCode::from_number);
                 let faults = serde_json::from_str::<Value>(&outcome.faults).unwrap_or_default();
                 Outcome::Refused {
-                    code: *code.ok_or_else(|| CatalogError::Faulty("unknown code".to_owned()))?,
+                    code: code.ok_or_else(|| CatalogError::Faulty("unknown code".to_owned()))?,
                     faults: decode_faults(&faults),
                 }
             }
@@ -313,13 +321,6 @@
     Outcome::Refused { code, faults: vec![Fault::new(code, path, detail)] }
 }
 
-/// Makes an outcome whose code is that of the first fault.
-fn refused_all(faults: Faults) -> Outcome {
-    let number = faults.0.first().map(|fault| fault.code);
-    let code = ResultCode::ALL.iter().copied().find(|code| Some(code.number()) == number);
-    Outcome::Refused { code: code.unwrap_or(ResultCode::PatchMalformed), faults: faults.0 }
-}
-
 fn encode_outcome(operation: &str, kept: &Kept) -> wire::Outcome {
     let (version, code, faults) = match &kept.outcome {
         Outcome::Accepted(version) => (version.get(), 0, String::new()),
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -164,6 +164,13 @@
     UpdateRefused = 5003, 500, NotRun;
 }
 
+impl ResultCode {
+    /// Returns the code with this number.
+    pub fn from_number(number: u16) -> Option<Self> {
+        Self::ALL.iter().copied().find(|code| code.number() == number)
+    }
+}
+
 impl fmt::Display for ResultCode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} {}", self.number(), self.name())
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -77,6 +77,8 @@
     ProcessStopped = 3, Info;
     /// The process can't start.
     StartFailed = 4, Error;
+    /// The node refuses new calls and finishes those in flight.
+    CallsDraining = 5, Info;
     /// A source member won an election.
     LeaderElected = 101, Info;
     /// A source member gave up leadership.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fanout;
 mod link;
+mod listener;
 mod metrics;
 pub mod node;
 pub mod options;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,4 +14,5 @@
 pub(crate) use admin::serve_admin;
 pub(crate) use callers::serve_callers;
 pub(crate) use control::Drain;
+pub(crate) use forward::client as call_client;
 pub(crate) use peers::serve_peers;
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -6,13 +6,14 @@
 
 use actix::Addr;
 use actix_web::dev::Server;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{HttpResponse, web};
 use kingcuplift_core::{ResultCode, ServiceName, TargetVersion};
 use serde::Deserialize;
 use serde_json::json;
 use smol_str::SmolStr;
 
 use crate::error::StartError;
+use crate::listener::serve_control;
 use crate::metrics;
 use crate::node::NodeActor;
 use crate::node::control::{Announce, AskHealth, LEASE, Withdraw};
@@ -55,20 +56,13 @@
     actor: Addr<NodeActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    let app = move || {
-        App::new()
-            .app_data(web::Data::clone(&actor))
+    serve_control(address, move |app| {
+        app.app_data(web::Data::clone(&actor))
             .route("/v1/targets/{service}", web::put().to(announce))
             .route("/v1/targets/{service}", web::delete().to(withdraw))
             .route("/healthz", web::get().to(health))
-            .route("/metrics", web::get().to(metrics::serve))
-    };
-    let server = HttpServer::new(app)
-        .workers(1)
-        .disable_signals()
-        .bind(address)
-        .map_err(|source| StartError::Address { address, source })?;
-    Ok(server.run())
+            .route("/metrics", web::get().to(metrics::serve));
+    })
 }
 
 async fn announce(
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::dev::Server;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use awc::Client;
 use bytes::Bytes;
 use kingcuplift_core::{Event, ResultCode, RunState};
@@ -15,9 +15,10 @@
 
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
+use crate::listener::serve_calls;
 use crate::metrics;
 use crate::node::forward::{self, Answer, Call, MAX_CALL, TIMEOUT_HEADER};
-use crate::node::peers::{STOP_LIMIT, hand_over, path_of, respond, write_envelope};
+use crate::node::peers::{hand_over, path_of, respond, write_envelope};
 use crate::node::shared::NodeShared;
 use crate::problem::CODE_HEADER;
 
@@ -30,21 +31,7 @@
     threads: usize,
     shared: Arc<NodeShared>,
 ) -> Result<Server, StartError> {
-    let shared = web::Data::from(shared);
-    let app = move || {
-        App::new()
-            .app_data(web::Data::clone(&shared))
-            .app_data(web::Data::new(forward::client()))
-            .default_service(web::to(take))
-    };
-    let server = HttpServer::new(app)
-        .workers(threads)
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(STOP_LIMIT)
-        .disable_signals()
-        .bind(address)
-        .map_err(|source| StartError::Address { address, source })?;
-    Ok(server.run())
+    serve_calls(address, threads, shared, take)
 }
 
 async fn take(
@@ -204,6 +191,5 @@
         return Ok(answer);
     };
     let number = value.to_str().ok().and_then(|text| text.parse::<u16>().ok());
-    let code = ResultCode::ALL.iter().find(|code| Some(code.number()) == number);
-    Err(code.copied().unwrap_or(ResultCode::AnswerLost))
+    Err(number.and_then(ResultCode::from_number).unwrap_or(ResultCode::AnswerLost))
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -7,13 +7,14 @@
 use actix_web::dev::Server;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use awc::Client;
 use kingcuplift_core::{Rank, ResultCode};
 use kingcuplift_traffic::{Response, TargetKey};
 use smol_str::SmolStr;
 
 use crate::error::StartError;
+use crate::listener::serve_calls;
 use crate::metrics;
 use crate::node::forward::{self, Answer, Call, MAX_CALL, TIMEOUT_HEADER};
 use crate::node::shared::NodeShared;
@@ -29,10 +30,6 @@
 const ROUTE_HEADER: &str = "kingcuplift-route";
 /// Statuses by which a target says that it has too much to do.
 const SHED: [StatusCode; 2] = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
-/// Time after which an unused connection is closed.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-/// Time for calls in flight at a stop, in seconds.
-pub(crate) const STOP_LIMIT: u64 = 30;
 
 /// Opens the interface for other nodes.
 pub(crate) fn serve_peers(
@@ -40,22 +37,7 @@
     threads: usize,
     shared: Arc<NodeShared>,
 ) -> Result<Server, StartError> {
-    let shared = web::Data::from(shared);
-    let app = move || {
-        App::new()
-            .app_data(web::Data::clone(&shared))
-            .app_data(web::Data::new(forward::client()))
-            .default_service(web::to(take))
-    };
-    let server = HttpServer::new(app)
-        .workers(threads)
-        .keep_alive(KEEP_ALIVE)
-        .h1_allow_half_closed(false)
-        .shutdown_timeout(STOP_LIMIT)
-        .disable_signals()
-        .bind(address)
-        .map_err(|source| StartError::Address { address, source })?;
-    Ok(server.run())
+    serve_calls(address, threads, shared, take)
 }
 
 async fn take(
--- a/crates/daemon/src/relay/http.rs
+++ b/crates/daemon/src/relay/http.rs
@@ -4,10 +4,11 @@
 
 use actix::Addr;
 use actix_web::dev::Server;
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{HttpResponse, web};
 use serde_json::json;
 
 use crate::error::StartError;
+use crate::listener::serve_control;
 use crate::metrics;
 use crate::relay::RelayActor;
 use crate::relay::actor::AskHealth;
@@ -18,18 +19,11 @@
     actor: Addr<RelayActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    let app = move || {
-        App::new()
-            .app_data(web::Data::clone(&actor))
+    serve_control(address, move |app| {
+        app.app_data(web::Data::clone(&actor))
             .route("/healthz", web::get().to(health))
-            .route("/metrics", web::get().to(metrics::serve))
-    };
-    let server = HttpServer::new(app)
-        .workers(1)
-        .disable_signals()
-        .bind(address)
-        .map_err(|source| StartError::Address { address, source })?;
-    Ok(server.run())
+            .route("/metrics", web::get().to(metrics::serve));
+    })
 }
 
 async fn health(relay: web::Data<Addr<RelayActor>>) -> HttpResponse {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -146,7 +146,7 @@
             let _ = actor.send(node::Drain).await;
             tokio::time::sleep(LEAVE_NOTICE).await;
             shared.drain();
-            log::info!("calls in flight: {}", shared.in_flight());
+            Event::CallsDraining.emit(&[("calls", &shared.in_flight())]);
         }
         for server in &self.servers {
             server.stop(true).await;
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -6,7 +6,7 @@
 
 use actix::Addr;
 use actix_web::dev::Server;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use kingcuplift_config::{MAX_PATCH, Submission};
 use kingcuplift_core::{ByteSize, MemberId, OperationId, ResultCode, Version, ZoneName};
 use kingcuplift_schema::quorum::Voter;
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::error::StartError;
+use crate::listener::serve_control;
 use crate::metrics;
 use crate::source::SourceActor;
 use crate::source::actor::{Ask, AskBackup, AskHealth, AskMembers, Change, Submit};
@@ -61,9 +62,8 @@
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
     let limit = (MAX_PATCH.get() + ENVELOPE.get()) as usize;
-    let app = move || {
-        App::new()
-            .app_data(web::Data::clone(&actor))
+    serve_control(address, move |app| {
+        app.app_data(web::Data::clone(&actor))
             .app_data(web::PayloadConfig::new(limit))
             .route("/v1/versions", web::post().to(submit))
             .route("/v1/versions", web::get().to(list_versions))
@@ -80,14 +80,8 @@
             .route("/v1/members/{id}", web::delete().to(remove_member))
             .route("/v1/backup", web::get().to(backup))
             .route("/healthz", web::get().to(health))
-            .route("/metrics", web::get().to(metrics::serve))
-    };
-    let server = HttpServer::new(app)
-        .workers(1)
-        .disable_signals()
-        .bind(address)
-        .map_err(|source| StartError::Address { address, source })?;
-    Ok(server.run())
+            .route("/metrics", web::get().to(metrics::serve));
+    })
 }
 
 type Source = web::Data<Addr<SourceActor>>;
