Split the source's actor; use the field's names

Now: actor (effects), operators, relays, forming, messages; pre-vote and registry. Behaviour unchanged; whole suite passes.

--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -11,7 +11,7 @@
     Downward, FreshnessReply, FreshnessRequest, Hello, Progress, Redirect, Target, TargetUpdate,
     UpdateFrame, Upward, downward, upward,
 };
-use kingcuplift_traffic::{HandshakeLimit, Learnt, Merge, Roster, TargetKey};
+use kingcuplift_traffic::{HandshakeLimit, Learnt, Merge, TargetKey, TargetRegistry};
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
@@ -53,7 +53,7 @@
     above: Option<mpsc::Sender<Upward>>,
     feed: Feed,
     fanout: Fanout,
-    targets: Roster,
+    targets: TargetRegistry,
     /// Nodes that wait for the next proof of freshness.
     waiting: Vec<(SessionId, u64)>,
     /// Nodes that the request in flight will answer.
@@ -79,7 +79,7 @@
             above: None,
             feed: Feed::default(),
             fanout: Fanout::default(),
-            targets: Roster::new(NODE_GRACE),
+            targets: TargetRegistry::new(NODE_GRACE),
             waiting: Vec::new(),
             asked: Vec::new(),
             request: 0,
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -2,13 +2,18 @@
 
 mod actor;
 mod answer;
+mod forming;
 mod http;
 mod links;
 mod members;
+mod messages;
+mod operators;
 mod query;
+mod relays;
 mod tracker;
 mod writer;
 
-pub(crate) use actor::{HandOver, SourceActor};
+pub(crate) use actor::SourceActor;
 pub(crate) use http::serve_http;
 pub(crate) use links::accept_links;
+pub(crate) use messages::HandOver;
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -18,9 +18,9 @@
 use crate::listener::serve_control;
 use crate::metrics;
 use crate::source::SourceActor;
-use crate::source::actor::{Ask, AskBackup, AskHealth, AskMembers, Change, Submit};
 use crate::source::answer::Answer;
 use crate::source::members::MemberChange;
+use crate::source::messages::{Ask, AskBackup, AskHealth, AskMembers, Change, Submit};
 use crate::source::query::{DEFAULT_LIMIT, Question};
 
 /// Longest time that a submission waits for its outcome.
--- a/crates/daemon/src/source/tracker.rs
+++ b/crates/daemon/src/source/tracker.rs
@@ -45,11 +45,6 @@
         self.relays.remove(&session);
     }
 
-    /// Forgets all relays.
-    pub(crate) fn clear(&mut self) {
-        self.relays.clear();
-    }
-
     /// Returns the progress of one version.
     pub(crate) fn progress(&self, version: Version) -> VersionProgress {
         let mut sum = VersionProgress::default();
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,4 +1,4 @@
-//! Elections: surveys, votes and transfer of leadership.
+//! Elections: pre-votes, votes and transfer of leadership.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,12 +13,12 @@
 
 impl Replica {
     /// Asks whether an election could be won, without changing the term.
-    pub(crate) fn begin_survey(&mut self) {
+    pub(crate) fn begin_pre_vote(&mut self) {
         self.reset_deadline();
         if !self.log.membership().is_voter(self.identity.id) {
             return;
         }
-        self.role = Role::Survey { granted: BTreeSet::from([self.identity.id]) };
+        self.role = Role::PreCandidate { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(true, false);
         self.count_votes();
     }
@@ -95,7 +95,9 @@
         }
         let current = reply.pre || term == self.hard.term;
         match &mut self.role {
-            Role::Survey { granted } if reply.pre && reply.granted => drop(granted.insert(from)),
+            Role::PreCandidate { granted } if reply.pre && reply.granted => {
+                granted.insert(from);
+            }
             Role::Candidate { granted } if !reply.pre && reply.granted && current => {
                 granted.insert(from);
             }
@@ -111,7 +113,9 @@
             granted.iter().filter(|id| membership.is_voter(**id)).count()
         };
         match &self.role {
-            Role::Survey { granted } if votes(granted) >= majority => self.begin_election(false),
+            Role::PreCandidate { granted } if votes(granted) >= majority => {
+                self.begin_election(false)
+            }
             Role::Candidate { granted } if votes(granted) >= majority => self.lead(),
             _ => {}
         }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -52,7 +52,7 @@
     /// Receives entries.
     Follower,
     /// Asks whether an election could be won.
-    Survey,
+    PreCandidate,
     /// Asks for votes.
     Candidate,
     /// Appends entries.
@@ -76,7 +76,7 @@
 #[derive(Debug)]
 pub(crate) enum Role {
     Follower { leader: Option<MemberId> },
-    Survey { granted: BTreeSet<MemberId> },
+    PreCandidate { granted: BTreeSet<MemberId> },
     Candidate { granted: BTreeSet<MemberId> },
     Leader(Leadership),
 }
@@ -194,7 +194,7 @@
     pub fn role(&self) -> RoleName {
         match self.role {
             Role::Follower { .. } => RoleName::Follower,
-            Role::Survey { .. } => RoleName::Survey,
+            Role::PreCandidate { .. } => RoleName::PreCandidate,
             Role::Candidate { .. } => RoleName::Candidate,
             Role::Leader(_) => RoleName::Leader,
         }
@@ -210,7 +210,7 @@
         match self.role {
             Role::Leader(_) => Some(self.identity.id),
             Role::Follower { leader } => leader,
-            Role::Survey { .. } | Role::Candidate { .. } => None,
+            Role::PreCandidate { .. } | Role::Candidate { .. } => None,
         }
     }
 
@@ -275,7 +275,7 @@
         match &self.role {
             Role::Leader(_) => self.tick_leader(),
             _ if !self.trust.is_proved() => {}
-            _ if self.now >= self.deadline => self.begin_survey(),
+            _ if self.now >= self.deadline => self.begin_pre_vote(),
             _ => {}
         }
     }
--- a/crates/quorum/tests/commit_rules.rs
+++ b/crates/quorum/tests/commit_rules.rs
@@ -65,8 +65,8 @@
         now += 10;
         replica.handle(Event::Tick, now);
     }
-    let survey = VoteReply { pre: true, granted: true, last_index: 9 };
-    let effects = replica.handle(from(2, 0, peer::Body::VoteReply(survey)), now);
+    let pre_vote = VoteReply { pre: true, granted: true, last_index: 9 };
+    let effects = replica.handle(from(2, 0, peer::Body::VoteReply(pre_vote)), now);
     replica.handle(Event::Stored(last_ticket(&effects).expect("term and vote are written")), now);
     let vote = VoteReply { pre: false, granted: true, last_index: 9 };
     let term = replica.term();
--- a/crates/traffic/src/roster.rs
+++ b/crates/traffic/src/registry.rs
@@ -31,14 +31,14 @@
 
 /// Announced targets and their sessions.
 #[derive(Debug)]
-pub struct Roster {
+pub struct TargetRegistry {
     table: TargetTable,
     owners: HashMap<TargetKey, Owner>,
     grace_ms: u64,
 }
 
-impl Roster {
-    /// Makes an empty roster; `grace_ms` is the time that a target outlives its session.
+impl TargetRegistry {
+    /// Makes an empty registry; `grace_ms` is the time that a target outlives its session.
     pub fn new(grace_ms: u64) -> Self {
         Self { table: TargetTable::default(), owners: HashMap::new(), grace_ms }
     }
--- /dev/null
+++ b/crates/traffic/tests/target_registry.rs
@@ -0,0 +1,90 @@
+//! Targets and the sessions that they were announced through.
+
+use kingcuplift_schema::control::{Target, TargetState};
+use kingcuplift_traffic::{Learnt, Merge, TargetRegistry};
+
+/// Time that a target outlives its session, in milliseconds.
+const GRACE: u64 = 10_000;
+
+fn target(node: &str, incarnation: u64, state: TargetState) -> Target {
+    let mut target = Target {
+        node: node.to_owned(),
+        service: "orders".to_owned(),
+        version: "v1".to_owned(),
+        incarnation,
+        ..Target::default()
+    };
+    target.set_state(state);
+    target
+}
+
+fn ready(node: &str, incarnation: u64) -> Target {
+    target(node, incarnation, TargetState::Ready)
+}
+
+fn present(registry: &TargetRegistry) -> usize {
+    registry.table().present().count()
+}
+
+#[test]
+fn target_outlives_session() {
+    let mut registry = TargetRegistry::new(GRACE);
+    registry.announce(1, ready("a", 5), 0);
+    registry.leave(1, 1_000);
+    assert!(registry.expire(1_000 + GRACE - 1).is_empty());
+    assert_eq!(registry.expire(1_000 + GRACE).len(), 1);
+    assert_eq!(present(&registry), 0);
+}
+
+#[test]
+fn other_session_takes_over() {
+    let mut registry = TargetRegistry::new(GRACE);
+    registry.announce(1, ready("a", 5), 0);
+    registry.leave(1, 1_000);
+    registry.announce(2, ready("a", 6), 2_000);
+    assert!(registry.expire(60_000).is_empty());
+    assert_eq!(present(&registry), 1);
+}
+
+#[test]
+fn late_end_of_old_session_is_harmless() {
+    let mut registry = TargetRegistry::new(GRACE);
+    registry.announce(1, ready("a", 5), 0);
+    registry.announce(2, ready("a", 6), 500);
+    registry.leave(1, 3_000);
+    assert!(registry.expire(60_000).is_empty());
+}
+
+#[test]
+fn learnt_targets_stay() {
+    let mut registry = TargetRegistry::new(GRACE);
+    assert_eq!(registry.learn(ready("far", 5), 0), Learnt::Merged(Merge::Changed));
+    assert!(registry.expire(u64::MAX / 2).is_empty());
+    assert_eq!(present(&registry), 1);
+}
+
+#[test]
+fn connected_target_is_defended() {
+    let mut registry = TargetRegistry::new(GRACE);
+    registry.announce(1, ready("a", 5), 0);
+    let learnt = registry.learn(target("a", 5, TargetState::Gone), 10);
+    assert_eq!(learnt, Learnt::Contradicted(ready("a", 6)));
+    assert_eq!(present(&registry), 1);
+    registry.leave(1, 20);
+    let learnt = registry.learn(target("a", 6, TargetState::Gone), 30);
+    assert_eq!(learnt, Learnt::Merged(Merge::Changed), "nobody here knows better");
+}
+
+#[test]
+fn common_loss_expires_nobody() {
+    let mut registry = TargetRegistry::new(GRACE);
+    for session in 1..=10 {
+        registry.announce(session, ready(&session.to_string(), 5), 0);
+        registry.leave(session, 1_000);
+    }
+    for now in (1_000..300_000).step_by(1_000) {
+        registry.hold(now);
+        assert!(registry.expire(now).is_empty());
+    }
+    assert_eq!(present(&registry), 10);
+}
