Renew certificates without a restart

Cause: a changed certificate file was read only at start. Seen failing first: the node's health said 'linked' while the relay refused it, because a link counted as open before the relay had answered. Now it counts from the first message. Tests with real processes: a certificate reissued with another role keeps the open link, is refused at the next one, and is accepted again once it has the right role; a damaged file is reported and the old one stays in use.

--- /dev/null
+++ b/crates/cli/tests/key_renewal.rs
@@ -0,0 +1,40 @@
+//! Certificates are renewed without a restart, and a peer without the role is refused.
+
+use kingcuplift_testing::Site;
+use serde_json::json;
+
+/// Event of renewed certificates.
+const KEYS_RENEWED: u16 = 205;
+/// Event of a refused connection.
+const LINK_REFUSED: u16 = 203;
+/// Event of faulty certificate files.
+const KEYS_REFUSED: u16 = 206;
+
+#[actix_rt::test]
+async fn renewed_key_is_used() {
+    let mut site = Site::builder().relays(1).nodes(1).start().await;
+    site.submit(0, &json!({ "services": { "lessons-desk": {} } }));
+    site.reissue("node-1", "relay");
+    site.wait_event("node-1", KEYS_RENEWED).await;
+    let health = site.health("node-1").await.expect("the node answers");
+    assert_eq!(health.body["linked"], true, "the open link stays");
+    site.kill("relay-1");
+    site.start("relay-1");
+    site.wait_event("relay-1", LINK_REFUSED).await;
+    let health = site.health("node-1").await.expect("the node answers");
+    assert_eq!(health.body["linked"], false, "a refused link is none");
+    site.reissue("node-1", "node");
+    site.wait_health("node-1", "a link with the right role", |reply| reply.body["linked"] == true)
+        .await;
+    site.wait_health("relay-1", "the node", |reply| reply.body["nodes"] == 1).await;
+}
+
+#[actix_rt::test]
+async fn faulty_key_is_left_alone() {
+    let site = Site::builder().relays(1).nodes(1).start().await;
+    site.submit(0, &json!({ "services": { "lessons-desk": {} } }));
+    site.write("keys/node-1.pem", &json!("no certificate"));
+    site.wait_event("node-1", KEYS_REFUSED).await;
+    let health = site.health("node-1").await.expect("the node answers");
+    assert_eq!(health.body["linked"], true);
+}
--- /dev/null
+++ b/crates/config/examples/update_sizes.rs
@@ -0,0 +1,82 @@
+//! Sizes of updates at the target size: a return after many changes against a full copy.
+
+use std::time::Instant;
+
+use kingcuplift_config::{Catalog, Feed, Submission, Subscription, encode_update};
+use kingcuplift_core::{ServiceName, Version};
+use kingcuplift_schema::Message;
+use kingcuplift_schema::control::Update;
+use serde_json::{Value, json};
+
+/// Services of the configuration at target size.
+const SERVICES: u64 = 2_300;
+/// Routes of the configuration at target size.
+const ROUTES: u64 = 10_000;
+/// Changes between leaving and returning.
+const CHANGES: u64 = 500;
+/// Step through the routes that makes the changes look random.
+const STRIDE: u64 = 7_919;
+
+fn main() {
+    let mut catalog = Catalog::default();
+    submit(&mut catalog, 0, &full_configuration());
+    for number in 1..=CHANGES {
+        let route = number * STRIDE % ROUTES;
+        let patch =
+            json!({ "routes": { format!("route-{route}"): { "timeout_ms": 1_000 + number } } });
+        submit(&mut catalog, number, &patch);
+    }
+    let few = (0..8).map(|n| format!("service-{}", n * STRIDE % SERVICES));
+    let few: Vec<ServiceName> = few.filter_map(|name| name.parse().ok()).collect();
+    report("8 services", catalog.feed(), &Subscription::new(few));
+    report("all services", catalog.feed(), &Subscription::All);
+}
+
+fn report(name: &str, feed: &Feed, subscription: &Subscription) {
+    let began = Instant::now();
+    let returned = size(&feed.update_since(Version::new(1), subscription, None));
+    let returned_us = began.elapsed().as_micros();
+    let began = Instant::now();
+    let full = size(&feed.full_update(subscription));
+    let full_us = began.elapsed().as_micros();
+    println!(
+        "{name}: return after {CHANGES} changes {returned} B in {returned_us} us, \
+         full copy {full} B in {full_us} us"
+    );
+}
+
+fn size(update: &Update) -> usize {
+    encode_update(update).encoded_len()
+}
+
+fn submit(catalog: &mut Catalog, number: u64, patch: &Value) {
+    catalog.apply(&Submission {
+        operation: number.to_string(),
+        at_head: true,
+        patch: patch.to_string(),
+        ..Submission::default()
+    });
+}
+
+fn full_configuration() -> Value {
+    let service = json!({ "slots": 20, "connections": 120, "idempotent_methods": ["GET", "HEAD"] });
+    let services: Value =
+        (0..SERVICES).map(|n| (format!("service-{n}"), service.clone())).collect();
+    let routes: Value = (0..ROUTES)
+        .map(|n| {
+            let route = json!({
+                "host": format!("host-{}.example", n % SERVICES),
+                "prefix": format!("/part-{}", n / SERVICES),
+                "service": format!("service-{}", n % SERVICES),
+                "priority": if n % 5 == 0 { "high" } else { "normal" },
+                "timeout_ms": 2_000,
+            });
+            (format!("route-{n}"), route)
+        })
+        .collect();
+    json!({
+        "priorities": { "high": { "rank": 0 }, "normal": { "rank": 1 } },
+        "services": services,
+        "routes": routes,
+    })
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -111,6 +111,10 @@
     LinkRefused = 203, Warn;
     /// A connection attempt failed.
     LinkFailed = 204, Warn;
+    /// Changed certificate files are in use for all connections that begin from now on.
+    KeysRenewed = 205, Info;
+    /// Changed certificate files are faulty and the old ones stay in use.
+    KeysRefused = 206, Error;
     /// A configuration version was put in force.
     VersionApplied = 301, Info;
     /// An update was refused and the last good version stays in force.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cli;
 mod clock;
+mod credentials;
 mod error;
 mod fanout;
 mod link;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -2,11 +2,15 @@
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use kingcuplift_core::ByteSize;
-use kingcuplift_keys::{Credentials, Grant, Protocol, Role, client_config, server_config};
+use kingcuplift_keys::{
+    Credentials, Grant, Protocol, Role, TlsError, client_config, server_config,
+};
 use kingcuplift_schema::Message;
 use quinn::crypto::rustls::HandshakeData;
 use quinn::{ClientConfig, Connection, RecvStream, SendStream};
@@ -46,10 +50,25 @@
 #[derive(Debug, Clone)]
 pub struct Endpoint {
     quic: quinn::Endpoint,
+    clients: Arc<ArcSwap<Clients>>,
+}
+
+/// Settings of outgoing connections.
+#[derive(Debug)]
+struct Clients {
     peer: ClientConfig,
     distribution: ClientConfig,
 }
 
+impl Clients {
+    fn new(credentials: &Credentials) -> Result<Self, TlsError> {
+        Ok(Self {
+            peer: client_config(credentials, Protocol::Peer)?,
+            distribution: client_config(credentials, Protocol::Distribution)?,
+        })
+    }
+}
+
 /// An accepted connection with what its certificate grants.
 #[derive(Debug)]
 pub(crate) struct Accepted {
@@ -63,11 +82,16 @@
     pub fn bind(address: SocketAddr, credentials: &Credentials) -> Result<Self, StartError> {
         let quic = quinn::Endpoint::server(server_config(credentials)?, address)
             .map_err(|source| StartError::Address { address, source })?;
-        Ok(Self {
-            quic,
-            peer: client_config(credentials, Protocol::Peer)?,
-            distribution: client_config(credentials, Protocol::Distribution)?,
-        })
+        let clients = Arc::new(ArcSwap::from_pointee(Clients::new(credentials)?));
+        Ok(Self { quic, clients })
+    }
+
+    /// Uses other credentials for all connections that begin from now on.
+    pub(crate) fn renew(&self, credentials: &Credentials) -> Result<(), TlsError> {
+        let clients = Clients::new(credentials)?;
+        self.quic.set_server_config(Some(server_config(credentials)?));
+        self.clients.store(Arc::new(clients));
+        Ok(())
     }
 
     /// Waits for the next connection attempt; `None` means that the endpoint is closed.
@@ -82,9 +106,10 @@
         role: Role,
         protocol: Protocol,
     ) -> Result<Connection, LinkError> {
+        let clients = self.clients.load();
         let config = match protocol {
-            Protocol::Peer => self.peer.clone(),
-            Protocol::Distribution => self.distribution.clone(),
+            Protocol::Peer => clients.peer.clone(),
+            Protocol::Distribution => clients.distribution.clone(),
         };
         let connecting = self.quic.connect_with(config, address, &role.server_name())?;
         Ok(connecting.await?)
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -93,6 +93,8 @@
     subscription: Subscription,
     upstream: Option<Upstream>,
     above: Option<mpsc::Sender<Upward>>,
+    /// Whether the process above has sent anything on the present link; before that it may refuse.
+    is_linked: bool,
     feed: Feed,
     table: TargetTable,
     leases: Leases,
@@ -121,6 +123,7 @@
             services,
             upstream: Some(Upstream { endpoint, role, addresses: relays, meter }),
             above: None,
+            is_linked: false,
             feed: Feed::default(),
             table: TargetTable::default(),
             leases: Leases::default(),
@@ -139,6 +142,7 @@
 
     fn opened(&mut self, above: mpsc::Sender<Upward>) {
         self.above = Some(above);
+        self.is_linked = false;
         let hello = Hello {
             name: self.shared.name.to_string(),
             zone: self.shared.zone.to_string(),
@@ -163,6 +167,7 @@
     }
 
     fn received(&mut self, body: downward::Body) {
+        self.is_linked = true;
         match body {
             downward::Body::Update(frame) => self.update(&frame),
             downward::Body::Targets(update) => self.merge_targets(update),
@@ -370,7 +375,10 @@
         match message {
             FromAbove::Opened(above) => self.opened(above),
             FromAbove::Received(body) => self.received(*body),
-            FromAbove::Closed => self.above = None,
+            FromAbove::Closed => {
+                self.above = None;
+                self.is_linked = false;
+            }
         }
     }
 }
@@ -420,7 +428,7 @@
         NodeHealth {
             version: self.shared.version().get(),
             held: self.feed.head().get(),
-            linked: self.above.is_some(),
+            linked: self.is_linked,
             ready: self.freshness == Freshness::Proved,
             targets: self.table.present().count(),
             locals: self.leases.iter().count(),
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -51,6 +51,8 @@
     zone: ZoneName,
     upstream: Option<Upstream>,
     above: Option<mpsc::Sender<Upward>>,
+    /// Whether the process above has sent anything on the present link; before that it may refuse.
+    is_linked: bool,
     feed: Feed,
     fanout: Fanout,
     targets: TargetRegistry,
@@ -77,6 +79,7 @@
             zone,
             upstream: Some(Upstream { endpoint, role, addresses: sources, meter }),
             above: None,
+            is_linked: false,
             feed: Feed::default(),
             fanout: Fanout::default(),
             targets: TargetRegistry::new(NODE_GRACE),
@@ -94,6 +97,7 @@
 
     fn opened(&mut self, above: mpsc::Sender<Upward>) {
         self.above = Some(above);
+        self.is_linked = false;
         self.reported = Progress::default();
         let hello = Hello {
             name: self.name.to_string(),
@@ -111,6 +115,7 @@
     }
 
     fn received(&mut self, body: downward::Body) {
+        self.is_linked = true;
         match body {
             downward::Body::Update(frame) => self.update(&frame),
             downward::Body::Targets(update) => self.merge_targets(update.targets),
@@ -264,7 +269,10 @@
         match message {
             FromAbove::Opened(above) => self.opened(above),
             FromAbove::Received(body) => self.received(*body),
-            FromAbove::Closed => self.above = None,
+            FromAbove::Closed => {
+                self.above = None;
+                self.is_linked = false;
+            }
         }
     }
 }
@@ -330,7 +338,7 @@
         RelayHealth {
             head: self.feed.head().get(),
             nodes: self.fanout.len(),
-            linked: self.above.is_some(),
+            linked: self.is_linked,
         }
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,22 +1,22 @@
 //! Starts the roles of a process, waits for the signal to stop, and stops them in order.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::{Actor, Addr};
 use actix_web::dev::{Server, ServerHandle};
 use kingcuplift_core::{Event, logger};
-use kingcuplift_keys::{Authority, Credentials, Grant};
+use kingcuplift_keys::Credentials;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::cli::Arguments;
+use crate::credentials;
 use crate::error::StartError;
 use crate::link::Endpoint;
 use crate::metrics;
 use crate::node::{self, NodeActor, NodeShared};
-use crate::options::{KeyOptions, NodeOptions, Options, RelayOptions, SourceOptions};
+use crate::options::{NodeOptions, Options, RelayOptions, SourceOptions};
 use crate::relay::{self, RelayActor};
 use crate::source::{self, HandOver, SourceActor};
 
@@ -28,6 +28,7 @@
 /// Everything that runs in this process.
 #[derive(Debug, Default)]
 struct Running {
+    endpoints: Vec<Endpoint>,
     servers: Vec<ServerHandle>,
     source: Option<Addr<SourceActor>>,
     node: Option<(Addr<NodeActor>, Arc<NodeShared>)>,
@@ -49,7 +50,7 @@
 }
 
 async fn serve(options: Options) -> Result<(), StartError> {
-    let credentials = credentials(&options)?;
+    let credentials = credentials::load(&options)?;
     let mut running = Running::default();
     if let Some(source) = &options.source {
         running.start_source(&options, source.clone(), &credentials)?;
@@ -60,6 +61,7 @@
     if let Some(node) = &options.node {
         running.start_node(&options, node, &credentials)?;
     }
+    actix::spawn(credentials::follow(options.keys.clone(), running.endpoints.clone()));
     Event::ProcessStarted.emit(&[("process", &options.name), ("zone", &options.zone)]);
     wait_for_signal().await;
     Event::ProcessStopping.emit(&[("process", &options.name)]);
@@ -75,7 +77,7 @@
         source: SourceOptions,
         credentials: &Credentials,
     ) -> Result<(), StartError> {
-        let endpoint = Endpoint::bind(source.listen, credentials)?;
+        let endpoint = self.bind(source.listen, credentials)?;
         let http = source.http;
         let actor = SourceActor::open(source, options.name.clone(), endpoint.clone())?.start();
         actix::spawn(source::accept_links(endpoint, actor.clone()));
@@ -90,7 +92,7 @@
         relay: &RelayOptions,
         credentials: &Credentials,
     ) -> Result<(), StartError> {
-        let endpoint = Endpoint::bind(relay.listen, credentials)?;
+        let endpoint = self.bind(relay.listen, credentials)?;
         let (name, zone) = (options.name.clone(), options.zone.clone());
         let actor = RelayActor::new(
             name,
@@ -112,7 +114,7 @@
         credentials: &Credentials,
     ) -> Result<(), StartError> {
         let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-        let endpoint = Endpoint::bind(any, credentials)?;
+        let endpoint = self.bind(any, credentials)?;
         let shared = Arc::new(NodeShared::new(options.name.clone(), options.zone.clone()));
         let actor = NodeActor::new(
             Arc::clone(&shared),
@@ -130,6 +132,17 @@
         Ok(())
     }
 
+    /// Opens an endpoint whose credentials are renewed with the certificate files.
+    fn bind(
+        &mut self,
+        address: SocketAddr,
+        credentials: &Credentials,
+    ) -> Result<Endpoint, StartError> {
+        let endpoint = Endpoint::bind(address, credentials)?;
+        self.endpoints.push(endpoint.clone());
+        Ok(endpoint)
+    }
+
     /// Lets a server run and keeps the handle to stop it.
     fn serve(&mut self, server: Server) {
         self.servers.push(server.handle());
@@ -166,29 +179,3 @@
         _ => std::future::pending().await,
     }
 }
-
-/// Reads the certificate files, or makes temporary certificates.
-fn credentials(options: &Options) -> Result<Credentials, StartError> {
-    match &options.keys {
-        KeyOptions::Temporary => {
-            let (authority, _) = Authority::generate()?;
-            let (name, zone) = (options.name.clone(), options.zone.clone());
-            let issued = authority.issue(&Grant { name, zone, roles: options.roles.clone() })?;
-            Ok(Credentials {
-                authority: authority.certificate().to_owned(),
-                certificate: issued.certificate,
-                key: issued.key,
-            })
-        }
-        KeyOptions::Files { authority, certificate, key } => Ok(Credentials {
-            authority: read_key(authority)?,
-            certificate: read_key(certificate)?,
-            key: read_key(key)?,
-        }),
-    }
-}
-
-fn read_key(path: &Path) -> Result<String, StartError> {
-    std::fs::read_to_string(path)
-        .map_err(|source| StartError::KeyFile { path: path.to_owned(), source })
-}
--- a/crates/testing/src/site.rs
+++ b/crates/testing/src/site.rs
@@ -174,6 +174,28 @@
         self.folder.path().join(format!("data-{name}"))
     }
 
+    /// Issues another certificate for a process, with the roles given.
+    pub fn reissue(&self, name: &str, roles: &str) {
+        let dir = self.keys_dir();
+        let zone = ZONES[0];
+        self.run_keys(&[
+            "keys", "issue", "--dir", &dir, "--name", name, "--zone", zone, "--roles", roles,
+        ]);
+    }
+
+    /// Waits until the log of a process holds an event.
+    pub async fn wait_event(&self, name: &str, event: u16) {
+        let until = Instant::now() + PATIENCE;
+        let wanted = format!("\"event\":{event},");
+        while Instant::now() < until {
+            if self.log(name).contains(&wanted) {
+                return;
+            }
+            actix_rt::time::sleep(POLL).await;
+        }
+        panic!("{name} did not log event {event}; its log: {}", self.log(name));
+    }
+
     /// Returns the log of a process.
     pub fn log(&self, name: &str) -> String {
         let path = self.folder.path().join(format!("{name}.log"));
