--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -127,7 +127,7 @@
     TargetExpired = 402, Warn;
     /// A target was drained.
     TargetDrained = 403, Info;
-    /// A call was answered by the system and not by a target.
+    /// A call was answered by the system and not by a target; logged at most once a second.
     CallRefused = 501, Warn;
 }
 
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -142,7 +142,9 @@
             break;
         }
     }
-    Event::CallRefused.emit(&[("code", &last), ("route", &route.name)]);
+    if shared.may_log_refusal(monotonic_ms()) {
+        Event::CallRefused.emit(&[("code", &last), ("route", &route.name)]);
+    }
     Err(last)
 }
 
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kingcuplift_core::{NodeName, Version, ZoneName};
@@ -10,6 +10,9 @@
 
 use crate::node::gate::Gate;
 
+/// Shortest time between two logged refusals of calls, in milliseconds.
+const REFUSAL_LOG_INTERVAL: u64 = 1_000;
+
 /// A target beside this node.
 #[derive(Debug)]
 pub(crate) struct LocalTarget {
@@ -31,6 +34,8 @@
     pub(crate) budget: RetryBudget,
     is_draining: AtomicBool,
     in_flight: AtomicUsize,
+    /// Time after which the next refused call is logged, in milliseconds.
+    refusal_log_at: AtomicU64,
 }
 
 impl NodeShared {
@@ -44,6 +49,7 @@
             budget: RetryBudget::default(),
             is_draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            refusal_log_at: AtomicU64::new(0),
         }
     }
 
@@ -69,6 +75,14 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Returns whether a refused call is to be logged: one in an interval, so that overload can't flood the log.
+    pub(crate) fn may_log_refusal(&self, now_ms: u64) -> bool {
+        let due = self.refusal_log_at.load(Ordering::Relaxed);
+        let next = now_ms + REFUSAL_LOG_INTERVAL;
+        let order = Ordering::Relaxed;
+        now_ms >= due && self.refusal_log_at.compare_exchange(due, next, order, order).is_ok()
+    }
+
     /// Counts a call until the guard is dropped.
     pub(crate) fn begin_call(&self) -> CallGuard<'_> {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
