Hand out committed entries in one place; look for gone targets once a second

Found on reading the whole change again: - a leader that is removed had its own copy of the loop that applies committed entries; it now calls the shared one. - the source passed over all announced targets on each tick of 20 ms; at 24,000 targets that is 1.2 million looks a second for a grace of 30 s. Now once a second, so a target counts as gone up to 1 s later. Not measured; counted by hand. - a node searched its leases from the front for a key that they are ordered by. Assertions are unchanged; lint and the tests of quorum, traffic, daemon and cli pass.

--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -316,7 +316,7 @@
 
     /// Tells the relay, and this node itself, of a target.
     fn publish_target(&mut self, key: &TargetKey, state: TargetState) {
-        let slots = self.leases.iter().find(|(held, _)| *held == key).map(|(_, l)| l.slots);
+        let slots = self.leases.get(key).map(|lease| lease.slots);
         let mut target = Target {
             node: key.node.to_string(),
             service: key.service.to_string(),
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -29,6 +29,8 @@
 
 /// Time between ticks of the state machine.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between looks for targets that are gone; each look passes over all targets.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Heartbeats within one election time.
 const HEARTBEATS: u64 = 5;
 /// Applied entries after which a snapshot is written.
@@ -287,7 +289,6 @@
             }
             Stage::Failed => {}
         }
-        self.relays.expire_targets(now);
     }
 
     /// Answers questions about freshness once the member is proved to be current.
@@ -316,6 +317,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(EXPIRY_INTERVAL, |actor, _| actor.relays.expire_targets(monotonic_ms()));
         ctx.run_interval(TICK, |actor, ctx| {
             let is_member = matches!(actor.stage, Stage::Member(_));
             match (actor.store.take(), is_member) {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -386,7 +386,8 @@
         self.effects.push(Effect::Save { ticket: self.ticket, hard, entries, snapshot });
     }
 
-    fn apply_committed(&mut self) {
+    /// Hands out committed entries, with the proposals that they came from.
+    pub(crate) fn apply_committed(&mut self) {
         while self.applied < self.commit {
             let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
             self.applied = entry.index;
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -226,22 +226,12 @@
         let gone = !self.log.membership().is_voter(self.identity.id);
         if gone && self.commit >= self.log.membership_index() {
             self.send_heartbeats();
-            self.apply_own();
+            // The proposals are answered while they are still known.
+            self.apply_committed();
             self.follow(self.hard.term, None);
         }
     }
 
-    /// Applies committed entries while the proposals are still known.
-    fn apply_own(&mut self) {
-        while self.applied < self.commit {
-            let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
-            self.applied = entry.index;
-            let Role::Leader(lead) = &mut self.role else { return };
-            let token = lead.pending.remove(&entry.index);
-            self.effects.push(Effect::Apply { entry, token });
-        }
-    }
-
     pub(crate) fn on_snapshot(&mut self, from: MemberId, term: u64, request: SnapshotRequest) {
         if !self.accept_leader(from, term) {
             return self.reply_append(from, false, self.log.last_index(), request.sent_ms);
--- a/crates/traffic/src/lease.rs
+++ b/crates/traffic/src/lease.rs
@@ -32,6 +32,11 @@
         changed
     }
 
+    /// Returns a target's lease.
+    pub fn get(&self, key: &TargetKey) -> Option<&Lease> {
+        self.held.get(key)
+    }
+
     /// Ends a lease.
     pub fn remove(&mut self, key: &TargetKey) -> Option<Lease> {
         self.held.remove(key)
