--- a/crates/cli/src/command/backup.rs
+++ b/crates/cli/src/command/backup.rs
@@ -33,6 +33,7 @@
         disk,
         listen: arguments.listen.to_string(),
         http: arguments.http.to_string(),
+        ..Voter::default()
     };
     let snapshot = Snapshot {
         index: FIRST_ENTRY,
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -14,6 +14,7 @@
 use crate::feed::Feed;
 use crate::patch::{Patch, Staged};
 use crate::resource::{Resource, ResourceKey};
+use crate::revision::Revision;
 
 /// Number of versions whose patch can be read back and used as a base.
 pub const KEPT_VERSIONS: usize = 10_000;
@@ -46,7 +47,7 @@
 }
 
 /// Facts about one accepted version.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct VersionInfo {
     /// Number.
     pub version: Version,
@@ -89,9 +90,15 @@
     versions: VecDeque<VersionInfo>,
     outcomes: HashMap<String, Kept>,
     order: VecDeque<String>,
+    revision: Revision,
 }
 
 impl Catalog {
+    /// Returns the whole configuration in force.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Returns the head document and its latest changes.
     pub fn feed(&self) -> &Feed {
         &self.feed
@@ -171,6 +178,8 @@
             resources: resources.collect(),
             versions: self.versions.iter().map(encode_version).collect(),
             outcomes: outcomes.collect(),
+            revision: self.revision.number,
+            revised: self.revision.version.get(),
         }
         .encode_to_vec()
     }
@@ -188,6 +197,10 @@
         let mut catalog = Self {
             feed: Feed::restore(Version::new(state.head), resources?),
             versions: versions?,
+            revision: Revision {
+                number: state.revision,
+                version: Version::new(state.revised),
+            },
             ..Self::default()
         };
         for outcome in state.outcomes {
@@ -199,6 +212,7 @@
     /// Checks a submission against the present state.
     fn check(&self, submission: &Submission) -> Result<Staged, Outcome> {
         let head = self.head();
+        self.check_revision(submission)?;
         let base = match submission.at_head {
             true => head,
             false => Version::new(submission.base),
@@ -218,6 +232,23 @@
         Ok(staged)
     }
 
+    /// Checks that a whole configuration replaces the one in force and has a higher number.
+    pub fn check_revision(&self, submission: &Submission) -> Result<(), Outcome> {
+        let held = self.revision.number;
+        match submission.revision {
+            0 => Ok(()),
+            _ if submission.after != held => {
+                let detail = format!("configuration {held} is in force; build on that");
+                Err(refused(ResultCode::RevisionConflict, "after", &detail))
+            }
+            number if number <= held => {
+                let detail = format!("configuration {held} is in force; use a higher number");
+                Err(refused(ResultCode::RevisionStale, "version", &detail))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Checks that nothing that the patch touches or refers to has changed since its base.
     fn check_base(&self, base: Version, staged: &Staged) -> Result<(), Outcome> {
         if base == self.head() {
@@ -255,6 +286,9 @@
             at_ms: submission.at_ms,
             prior,
         });
+        if submission.revision != 0 {
+            self.revision = Revision { number: submission.revision, version };
+        }
         version
     }
 
@@ -308,7 +342,13 @@
 }
 
 /// Hashes what makes a submission differ from another.
+///
+/// The operation id of a whole configuration is made from its content already; its patch depends on what was
+/// in force when it was received.
 fn content_hash(submission: &Submission) -> u64 {
+    if submission.revision != 0 {
+        return submission.revision;
+    }
     let mut digest = kingcuplift_core::Digest::default();
     let numbers = format!("{}/{}", submission.base, submission.number);
     digest.add(&numbers, &submission.patch);
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -10,7 +10,7 @@
 use crate::resource::{Kind, Resource, ResourceKey};
 
 /// Content of one resource.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Stored {
     /// Canonical JSON.
     pub json: Arc<str>,
@@ -103,7 +103,7 @@
     /// Returns the document as one JSON object, by kind and name.
     pub fn to_json(&self) -> Value {
         let mut kinds = Map::new();
-        for kind in [Kind::Services, Kind::Routes, Kind::Priorities, Kind::Moves, Kind::Zones] {
+        for kind in Kind::ALL {
             kinds.insert(kind.as_str().to_owned(), Value::Object(Map::new()));
         }
         for (key, stored) in &self.resources {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod patch;
 mod resource;
+mod revision;
 mod subscription;
 
 pub use catalog::{
@@ -18,5 +19,9 @@
 pub use feed::{Applied, Feed, UpdateError};
 pub use frame::{FrameError, decode_update, encode_update};
 pub use patch::{MAX_DEPTH, MAX_PATCH, Patch, Staged};
-pub use resource::{Kind, MoveSpec, Resource, ResourceKey, RouteSpec, ServiceSpec, ZoneState};
+pub use resource::{
+    CALLER_LIMITS, CallerLimits, Kind, MoveSpec, MoveState, Part, Resource, ResourceKey, RouteSpec,
+    Semantics, ServiceSpec, ZoneState,
+};
+pub use revision::{Revision, RevisionBody};
 pub use subscription::Subscription;
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use kingcuplift_core::{
-    Faults, Rank, ResultCode, ServiceName, Share, TargetVersion, ZoneName, check_fields,
+    ByteSize, Faults, PerSecond, Rank, ResultCode, ServiceName, Share, TargetVersion, ZoneName,
+    check_fields,
 };
 use kingcuplift_schema::config as wire;
 use serde::de::DeserializeOwned;
@@ -18,12 +19,34 @@
 const DEFAULT_CONNECTIONS: u32 = 120;
 /// Calls that may wait before one target when the service names no number.
 const DEFAULT_QUEUE: u32 = 100;
+/// Longest time for a move.
+const MAX_MOVE: Duration = Duration::from_secs(30 * 24 * 3600);
+/// The whole, in thousandths.
+const THOUSAND: u32 = 1_000;
+/// Largest rank.
+const MAX_RANK: u32 = u8::MAX as u32;
+/// Milliseconds in a second.
+const MS: f64 = 1_000.0;
 /// Largest number of slots, connections or waiting calls.
 const MAX_COUNT: u32 = 100_000;
 /// Longest time for one call when the route names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time for one call that a route may name.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3600);
+/// Longest time within which a target may stay cold.
+const MAX_WARMUP: Duration = Duration::from_secs(3600);
+/// Most targets for one call that a route may name.
+const MAX_ATTEMPTS: u32 = 16;
+/// Largest headers of a call when the document names none; as for HTTP/1.1 servers in common use.
+const DEFAULT_HEADERS: ByteSize = ByteSize::kib(64);
+/// Largest body of a call when the document names none.
+const DEFAULT_BODY: ByteSize = ByteSize::mib(64);
+/// Longest time for the headers of a call when the document names none.
+const DEFAULT_HEADER_TIME: Duration = Duration::from_secs(10);
+/// Longest time for which a connection may be idle when the document names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(75);
+/// Name of the only resource of the kind `limits`.
+pub const CALLER_LIMITS: &str = "callers";
 /// Longest host name or path prefix, in bytes.
 const MAX_TEXT: usize = 1024;
 
@@ -40,9 +63,15 @@
     Moves,
     /// An availability zone.
     Zones,
+    /// What callers may send.
+    Limits,
 }
 
 impl Kind {
+    /// All kinds, in the order of documents.
+    pub const ALL: [Self; 6] =
+        [Self::Services, Self::Routes, Self::Priorities, Self::Moves, Self::Zones, Self::Limits];
+
     /// Returns the name used in documents.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -51,6 +80,7 @@
             Self::Routes => "routes",
             Self::Moves => "moves",
             Self::Zones => "zones",
+            Self::Limits => "limits",
         }
     }
 }
@@ -65,8 +95,9 @@
             "routes" => Ok(Self::Routes),
             "moves" => Ok(Self::Moves),
             "zones" => Ok(Self::Zones),
+            "limits" => Ok(Self::Limits),
             _ => Err(format!(
-                "{text:?} is no resource kind; use services, routes, priorities, moves or zones"
+                "{text:?} is no resource kind; use services, routes, priorities, moves, zones or limits"
             )),
         }
     }
@@ -116,36 +147,155 @@
     pub idempotent: Vec<SmolStr>,
     /// Calls that may wait before one target.
     pub queue: u32,
+    /// Path of the target's health answer.
+    pub health: Option<SmolStr>,
+    /// Time for which a target stays cold after its start.
+    pub warmup: Duration,
+    /// Calls a second that a cold target bears; `None` means that it bears all.
+    pub warmup_rate: Option<PerSecond>,
 }
 
 /// A rule that sends calls to a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteSpec {
     /// Host that the caller names, in lower case.
     pub host: SmolStr,
     /// Beginning of the path.
     pub prefix: SmolStr,
-    /// Name of the service.
-    pub service: ServiceName,
+    /// Services that share the calls; one at least.
+    pub parts: Vec<Part>,
     /// Name of the priority.
     pub priority: Option<SmolStr>,
+    /// Order of service, where the route names no priority.
+    pub rank: Option<Rank>,
     /// Longest time for one call.
     pub timeout: Duration,
+    /// Time within which an answer has its full value.
+    pub objective: Option<Duration>,
+    /// Whether a call may run more than once; `None` means that its method decides.
+    pub semantics: Option<Semantics>,
+    /// Most targets that one call is sent to.
+    pub attempts: Option<u32>,
 }
 
-/// A change of a service's traffic from one target version to another.
+/// One service's part of a route's calls.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Part {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Weight among the parts, 0 or more.
+    pub weight: f64,
+}
+
+/// Whether a call may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Semantics {
+    /// A call may run more than once.
+    Idempotent,
+    /// A call must not run twice.
+    AtMostOnce,
+}
+
+impl FromStr for Semantics {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "idempotent" => Ok(Self::Idempotent),
+            "at_most_once" => Ok(Self::AtMostOnce),
+            _ => Err(format!("{text:?} is unknown; use \"idempotent\" or \"at_most_once\"")),
+        }
+    }
+}
+
+/// What callers may send.
 #[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest headers of a call.
+    pub headers: ByteSize,
+    /// Largest body of a call.
+    pub body: ByteSize,
+    /// Longest time for the headers of a call.
+    pub header_time: Duration,
+    /// Longest time for which a connection may be idle.
+    pub idle: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            headers: DEFAULT_HEADERS,
+            body: DEFAULT_BODY,
+            header_time: DEFAULT_HEADER_TIME,
+            idle: DEFAULT_IDLE,
+        }
+    }
+}
+
+/// A change of a service's traffic from one target version to another.
+#[derive(Debug, Clone, PartialEq)]
 pub struct MoveSpec {
     /// Name of the service.
     pub service: ServiceName,
-    /// Target version that has the traffic.
-    pub from: TargetVersion,
+    /// Target version that has the traffic; `None` when none had any before.
+    pub from: Option<TargetVersion>,
     /// Target version that is to get the traffic.
     pub to: TargetVersion,
     /// Final share of the new target version.
     pub share: Share,
     /// Time by which the traffic must have moved.
-    pub deadline: jiff::Timestamp,
+    pub deadline: Option<jiff::Timestamp>,
+    /// How far the move has come.
+    pub state: MoveState,
+    /// Share of the new target version now, in thousandths.
+    pub moved: u16,
+    /// Time for the whole move.
+    pub within: Option<Duration>,
+    /// When the move was ordered, in milliseconds since the Unix epoch.
+    pub ordered_ms: u64,
+}
+
+/// How far a move has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MoveState {
+    /// The new target version has no share yet.
+    Waiting,
+    /// The new target version has a share.
+    Moving,
+    /// The new target version has its final share.
+    Done,
+    /// The old target version has all traffic again.
+    TakenBack,
+}
+
+impl MoveState {
+    /// Returns the name used in documents.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Moving => "moving",
+            Self::Done => "done",
+            Self::TakenBack => "taken_back",
+        }
+    }
+
+    /// Returns whether the move goes no further.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Done | Self::TakenBack)
+    }
+}
+
+impl FromStr for MoveState {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        [Self::Waiting, Self::Moving, Self::Done, Self::TakenBack]
+            .into_iter()
+            .find(|state| state.as_str() == text)
+            .ok_or_else(|| {
+                format!("{text:?} is no state; use \"waiting\", \"moving\", \"done\" or \"taken_back\"")
+            })
+    }
 }
 
 /// Whether an availability zone is in service.
@@ -158,7 +308,7 @@
 }
 
 /// A checked resource.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Resource {
     /// A service.
     Service(ServiceSpec),
@@ -170,6 +320,8 @@
     Move(MoveSpec),
     /// An availability zone.
     Zone(ZoneState),
+    /// What callers may send.
+    Limits(CallerLimits),
 }
 
 impl Resource {
@@ -183,6 +335,7 @@
             Kind::Priorities => parse_priority(&path, value, faults).map(Self::Priority),
             Kind::Moves => parse_move(&path, value, faults).map(Self::Move),
             Kind::Zones => parse_zone(&key.name, &path, value, faults).map(Self::Zone),
+            Kind::Limits => parse_limits(&key.name, &path, value, faults).map(Self::Limits),
         };
         match faults.0.len() == before {
             true => resource,
@@ -192,24 +345,25 @@
 
     /// Returns the addresses of the resources that this one refers to.
     pub fn references(&self) -> Vec<ResourceKey> {
+        let service = |name: &ServiceName| ResourceKey::new(Kind::Services, name.as_str());
         match self {
             Self::Route(route) => {
-                let mut keys = vec![ResourceKey::new(Kind::Services, route.service.as_str())];
+                let mut keys: Vec<_> = route.parts.iter().map(|part| service(&part.service)).collect();
                 let priority = route.priority.as_ref();
                 keys.extend(priority.map(|name| ResourceKey::new(Kind::Priorities, name)));
                 keys
             }
-            Self::Move(spec) => vec![ResourceKey::new(Kind::Services, spec.service.as_str())],
-            Self::Service(_) | Self::Priority(_) | Self::Zone(_) => Vec::new(),
+            Self::Move(spec) => vec![service(&spec.service)],
+            Self::Service(_) | Self::Priority(_) | Self::Zone(_) | Self::Limits(_) => Vec::new(),
         }
     }
 
-    /// Returns the service that the resource belongs to, if it belongs to one.
-    pub fn service(&self) -> Option<&ServiceName> {
+    /// Returns the services that the resource belongs to.
+    pub fn services(&self) -> Vec<&ServiceName> {
         match self {
-            Self::Route(route) => Some(&route.service),
-            Self::Move(spec) => Some(&spec.service),
-            Self::Service(_) | Self::Priority(_) | Self::Zone(_) => None,
+            Self::Route(route) => route.parts.iter().map(|part| &part.service).collect(),
+            Self::Move(spec) => vec![&spec.service],
+            Self::Service(_) | Self::Priority(_) | Self::Zone(_) | Self::Limits(_) => Vec::new(),
         }
     }
 }
@@ -291,7 +445,27 @@
         }
     }
     let idempotent = wire.idempotent_methods.iter().map(SmolStr::new).collect();
-    Some(ServiceSpec { slots, connections, idempotent, queue })
+    let max = MAX_WARMUP.as_secs_f64();
+    let warmup = number(&format!("{path}/warmup_s"), wire.warmup_s, 0.0, 0.0, max, faults);
+    let max = f64::from(MAX_COUNT);
+    let rate = number(&format!("{path}/warmup_rate"), wire.warmup_rate, 0.0, 0.0, max, faults);
+    if wire.protocol.as_deref().is_some_and(|protocol| protocol != "h1") {
+        let detail = "targets speak \"h1\" only";
+        faults.push(ResultCode::PatchBadValue, format!("{path}/protocol"), detail);
+    }
+    if wire.tls == Some(true) {
+        let detail = "calls to targets don't leave the VM and use no TLS; set false";
+        faults.push(ResultCode::PatchBadValue, format!("{path}/tls"), detail);
+    }
+    Some(ServiceSpec {
+        slots,
+        connections,
+        idempotent,
+        queue,
+        health: wire.health.map(SmolStr::new),
+        warmup: Duration::from_secs_f64(warmup),
+        warmup_rate: (rate > 0.0).then(|| PerSecond::new(rate)),
+    })
 }
 
 fn parse_route(path: &str, value: &Value, faults: &mut Faults) -> Option<RouteSpec> {
@@ -308,22 +482,89 @@
         let detail = "a prefix begins with '/' and has at most 1024 bytes";
         faults.push(ResultCode::PatchBadValue, format!("{path}/prefix"), detail);
     }
-    let service = required(path, "service", wire.service.as_deref(), faults);
-    let max = MAX_TIMEOUT.as_millis() as u64;
-    let default = DEFAULT_TIMEOUT.as_millis() as u64;
-    let timeout = number(&format!("{path}/timeout_ms"), wire.timeout_ms, default, 1, max, faults);
+    let parts = parse_parts(path, wire.service.as_deref(), &wire.split, faults);
+    let max = MAX_TIMEOUT.as_secs_f64() * MS;
+    let default = DEFAULT_TIMEOUT.as_secs_f64() * MS;
+    let timeout = number(&format!("{path}/timeout_ms"), wire.timeout_ms, default, 1.0, max, faults);
+    let objective =
+        number(&format!("{path}/objective_ms"), wire.objective_ms, 0.0, 0.0, max, faults);
+    let rank =
+        wire.rank.map(|rank| number(&format!("{path}/rank"), Some(rank), 0, 0, MAX_RANK, faults));
+    let attempts = wire.attempts.map(|attempts| {
+        number(&format!("{path}/attempts"), Some(attempts), 1, 1, MAX_ATTEMPTS, faults)
+    });
+    let semantics = wire.semantics.as_deref();
+    let semantics = semantics.and_then(|text| required(path, "semantics", Some(text), faults));
     Some(RouteSpec {
         host: SmolStr::new(host),
         prefix: SmolStr::new(prefix),
-        service: service?,
+        parts: parts?,
         priority: wire.priority.map(SmolStr::new),
-        timeout: Duration::from_millis(timeout),
+        rank: rank.and_then(|rank| u8::try_from(rank).ok()).map(Rank::new),
+        timeout: Duration::from_secs_f64(timeout / MS),
+        objective: (objective > 0.0).then(|| Duration::from_secs_f64(objective / MS)),
+        semantics,
+        attempts,
+    })
+}
+
+/// Checks the services that share a route's calls.
+fn parse_parts(
+    path: &str,
+    service: Option<&str>,
+    split: &[wire::Part],
+    faults: &mut Faults,
+) -> Option<Vec<Part>> {
+    if split.is_empty() {
+        let service = required(path, "service", service, faults)?;
+        return Some(vec![Part { service, weight: 1.0 }]);
+    }
+    let mut parts = Vec::with_capacity(split.len());
+    for (i, part) in split.iter().enumerate() {
+        let path = format!("{path}/split/{i}");
+        let weight =
+            number(&format!("{path}/weight"), part.weight, 1.0, 0.0, f64::from(MAX_COUNT), faults);
+        let service = required(&path, "service", part.service.as_deref(), faults);
+        parts.extend(service.map(|service| Part { service, weight }));
+    }
+    if parts.iter().all(|part| part.weight == 0.0) {
+        let detail = "no part has a weight above 0";
+        faults.push(ResultCode::PatchBadValue, format!("{path}/split"), detail);
+    }
+    Some(parts)
+}
+
+fn parse_limits(
+    name: &str,
+    path: &str,
+    value: &Value,
+    faults: &mut Faults,
+) -> Option<CallerLimits> {
+    let wire: wire::CallerLimits = read(path, value, faults)?;
+    if name != CALLER_LIMITS {
+        let detail = format!("the only limits are {CALLER_LIMITS:?}");
+        faults.push(ResultCode::PatchBadValue, path, detail);
+    }
+    let default = CallerLimits::default();
+    let mut positive = |field: &str, value, default: f64| {
+        number(&format!("{path}/{field}"), value, default, 1.0, f64::MAX, faults)
+    };
+    let headers = positive("header_bytes", wire.header_bytes, default.headers.get() as f64);
+    let body = positive("body_bytes", wire.body_bytes, default.body.get() as f64);
+    let header_ms = positive("header_ms", wire.header_ms, default.header_time.as_secs_f64() * MS);
+    let idle_ms = positive("idle_ms", wire.idle_ms, default.idle.as_secs_f64() * MS);
+    let longest = MAX_TIMEOUT.as_secs_f64() * MS;
+    Some(CallerLimits {
+        headers: ByteSize::bytes(headers as u64),
+        body: ByteSize::bytes(body as u64),
+        header_time: Duration::from_secs_f64(header_ms.min(longest) / MS),
+        idle: Duration::from_secs_f64(idle_ms.min(longest) / MS),
     })
 }
 
 fn parse_priority(path: &str, value: &Value, faults: &mut Faults) -> Option<Rank> {
     let wire: wire::Priority = read(path, value, faults)?;
-    let rank = number(&format!("{path}/rank"), wire.rank, 0, 0, u32::from(u8::MAX), faults);
+    let rank = number(&format!("{path}/rank"), wire.rank, 0, 0, MAX_RANK, faults);
     if wire.rank.is_none() {
         report_missing(path, "rank", faults);
     }
@@ -333,21 +574,42 @@
 fn parse_move(path: &str, value: &Value, faults: &mut Faults) -> Option<MoveSpec> {
     let wire: wire::Move = read(path, value, faults)?;
     let service = required(path, "service", wire.service.as_deref(), faults);
-    let from: Option<TargetVersion> = required(path, "from", wire.from.as_deref(), faults);
     let to: Option<TargetVersion> = required(path, "to", wire.to.as_deref(), faults);
-    let deadline = required(path, "deadline", wire.deadline.as_deref(), faults);
+    let state = match wire.state.as_deref() {
+        Some(text) => required(path, "state", Some(text), faults)?,
+        None => MoveState::Waiting,
+    };
+    let from = match (state, wire.from.as_deref()) {
+        (MoveState::Done, None) => None,
+        (_, from) => Some(required::<TargetVersion>(path, "from", from, faults)?),
+    };
+    let deadline = match (wire.deadline.as_deref(), wire.within_s) {
+        (None, Some(_)) => None,
+        (None, None) if state == MoveState::Done => None,
+        (text, _) => Some(required::<jiff::Timestamp>(path, "deadline", text, faults)?),
+    };
+    let longest = MAX_MOVE.as_secs_f64();
+    let within = wire.within_s.map(|within| {
+        number(&format!("{path}/within_s"), Some(within), longest, 0.0, longest, faults)
+    });
     let max = u32::from(Share::WHOLE.percent());
     let share = number(&format!("{path}/share"), wire.share, max, 1, max, faults);
+    let moved = number(&format!("{path}/moved"), wire.moved, 0, 0, THOUSAND, faults);
+    let ordered = number(&format!("{path}/ordered_ms"), wire.ordered_ms, 0.0, 0.0, f64::MAX, faults);
     if from.is_some() && from == to {
         let detail = "\"from\" and \"to\" are equal; name two target versions";
         faults.push(ResultCode::PatchBadValue, format!("{path}/to"), detail);
     }
     Some(MoveSpec {
         service: service?,
-        from: from?,
+        from,
         to: to?,
         share: u8::try_from(share).ok().and_then(Share::new)?,
-        deadline: deadline?,
+        deadline,
+        state,
+        moved: u16::try_from(moved).ok()?,
+        within: within.map(Duration::from_secs_f64),
+        ordered_ms: ordered as u64,
     })
 }
 
--- /dev/null
+++ b/crates/config/src/revision.rs
@@ -0,0 +1,175 @@
+//! Whole configurations under operators' own numbers.
+//!
+//! A whole configuration replaces all services, routes and caller limits. It becomes a version as the patch
+//! that leads to it from what is in force; zones and moves stay as they are.
+
+use kingcuplift_core::{Digest, Faults, ResultCode, Version};
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+
+use crate::catalog::Submission;
+use crate::document::Document;
+use crate::resource::{CALLER_LIMITS, Kind, ResourceKey};
+
+/// Kinds that a whole configuration replaces.
+const REPLACED: [Kind; 3] = [Kind::Services, Kind::Routes, Kind::Limits];
+
+/// The whole configuration in force.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Revision {
+    /// Operator's number; 0 for none.
+    pub number: u64,
+    /// Version that it became.
+    pub version: Version,
+}
+
+/// A whole configuration as operators write it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct RevisionBody {
+    /// Operator's number.
+    version: u64,
+    /// Services by name.
+    services: Map<String, Value>,
+    /// Routes by name.
+    routes: Map<String, Value>,
+    /// What callers may send.
+    #[serde(default)]
+    limits: Map<String, Value>,
+}
+
+impl RevisionBody {
+    /// Reads a whole configuration.
+    pub fn parse(text: &[u8]) -> Result<Self, Faults> {
+        serde_json::from_slice(text).map_err(|error| {
+            let mut faults = Faults::default();
+            faults.push(ResultCode::PatchMalformed, "", error.to_string());
+            faults
+        })
+    }
+
+    /// Returns the operator's number.
+    pub fn number(&self) -> u64 {
+        self.version
+    }
+
+    /// Makes the submission that replaces the configuration `after`, which `document` holds.
+    ///
+    /// The same body gives the same operation id, so a resend gets the first outcome.
+    pub fn submission(&self, after: u64, text: &[u8], base: Revision, document: &Document) -> Submission {
+        let mut digest = Digest::default();
+        digest.add(&format!("{after}/{}", self.version), &String::from_utf8_lossy(text));
+        Submission {
+            operation: format!("revision-{digest}"),
+            base: base.version.get(),
+            at_head: base.number == 0,
+            patch: self.patch(document).to_string(),
+            revision: self.version,
+            after,
+            ..Submission::default()
+        }
+    }
+
+    /// Returns the merge patch that leads from `document` to this configuration.
+    fn patch(&self, document: &Document) -> Value {
+        let limits = match self.limits.is_empty() {
+            true => Map::new(),
+            false => Map::from_iter([(
+                CALLER_LIMITS.to_owned(),
+                Value::Object(self.limits.clone()),
+            )]),
+        };
+        let mut patch = Map::new();
+        for (kind, wanted) in REPLACED.into_iter().zip([&self.services, &self.routes, &limits]) {
+            let changes = kind_patch(document, kind, wanted);
+            if !changes.is_empty() {
+                patch.insert(kind.as_str().to_owned(), Value::Object(changes));
+            }
+        }
+        let moves = orphaned_moves(document, &self.services);
+        if !moves.is_empty() {
+            patch.insert(Kind::Moves.as_str().to_owned(), Value::Object(moves));
+        }
+        Value::Object(patch)
+    }
+}
+
+/// Returns the merge patch that removes the moves of services that are no longer there.
+fn orphaned_moves(document: &Document, services: &Map<String, Value>) -> Map<String, Value> {
+    let gone = document.keys_of(Kind::Services).filter(|key| !services.contains_key(key.name.as_str()));
+    let moves = gone.flat_map(|key| document.referrers(key)).filter(|key| key.kind == Kind::Moves);
+    moves.map(|key| (key.name.to_string(), Value::Null)).collect()
+}
+
+/// Returns the merge patch for one kind.
+fn kind_patch(document: &Document, kind: Kind, wanted: &Map<String, Value>) -> Map<String, Value> {
+    let mut changes = Map::new();
+    for (name, value) in wanted {
+        let value = without_nulls(value);
+        let stored = document.get(&ResourceKey::new(kind, name));
+        match stored {
+            Some(stored) if *stored.json == *value.to_string() => {}
+            Some(stored) => {
+                let held = serde_json::from_str(&stored.json).unwrap_or(Value::Null);
+                changes.insert(name.clone(), difference(&held, &value));
+            }
+            None => drop(changes.insert(name.clone(), value)),
+        }
+    }
+    for key in document.keys_of(kind).filter(|key| !wanted.contains_key(key.name.as_str())) {
+        changes.insert(key.name.to_string(), Value::Null);
+    }
+    changes
+}
+
+/// Returns the merge patch that leads from `held` to `wanted`.
+fn difference(held: &Value, wanted: &Value) -> Value {
+    let (Value::Object(held), Value::Object(wanted)) = (held, wanted) else {
+        return wanted.clone();
+    };
+    let mut changes = Map::new();
+    for (name, value) in wanted {
+        match held.get(name) {
+            Some(before) if before == value => {}
+            Some(before) => drop(changes.insert(name.clone(), difference(before, value))),
+            None => drop(changes.insert(name.clone(), value.clone())),
+        }
+    }
+    for name in held.keys().filter(|name| !wanted.contains_key(*name)) {
+        changes.insert(name.clone(), Value::Null);
+    }
+    Value::Object(changes)
+}
+
+/// Drops fields without a value; a merge patch can't hold them.
+fn without_nulls(value: &Value) -> Value {
+    match value {
+        Value::Object(fields) => fields
+            .iter()
+            .filter(|(_, value)| !value.is_null())
+            .map(|(name, value)| (name.clone(), without_nulls(value)))
+            .collect(),
+        _ => value.clone(),
+    }
+}
+
+impl Revision {
+    /// Writes the configuration as operators do.
+    pub fn to_json(self, document: &Document) -> String {
+        let mut text = format!("{{\"version\":{}", self.number);
+        for kind in [Kind::Services, Kind::Routes] {
+            text.push_str(&format!(",{}:{{", json!(kind.as_str())));
+            for (i, key) in document.keys_of(kind).enumerate() {
+                let stored = document.get(key).map_or("null", |stored| &*stored.json);
+                let comma = if i == 0 { "" } else { "," };
+                text.push_str(&format!("{comma}{}:{stored}", json!(key.name)));
+            }
+            text.push('}');
+        }
+        let limits = document.get(&ResourceKey::new(Kind::Limits, CALLER_LIMITS));
+        if let Some(stored) = limits {
+            text.push_str(&format!(",\"limits\":{}", stored.json));
+        }
+        text.push('}');
+        text
+    }
+}
--- a/crates/config/src/subscription.rs
+++ b/crates/config/src/subscription.rs
@@ -12,7 +12,7 @@
 pub enum Subscription {
     /// All resources.
     All,
-    /// The services, their routes and moves, the priorities of those routes, and every zone.
+    /// The services, their routes and moves, what those routes refer to, every zone, and the limits.
     Services(BTreeSet<ServiceName>),
 }
 
@@ -39,13 +39,13 @@
     /// Priorities are covered through the routes that refer to them; see [`Self::closure`].
     pub(crate) fn covers(&self, key: &ResourceKey, resource: &Resource) -> bool {
         match (self, resource) {
-            (Self::All, _) | (_, Resource::Zone(_)) => true,
+            (Self::All, _) | (_, Resource::Zone(_) | Resource::Limits(_)) => true,
             (_, Resource::Priority(_)) => false,
             (Self::Services(services), Resource::Service(_)) => {
                 services.iter().any(|service| service.as_str() == key.name)
             }
             (Self::Services(services), _) => {
-                resource.service().is_some_and(|service| services.contains(service))
+                resource.services().into_iter().any(|service| services.contains(service))
             }
         }
     }
@@ -55,7 +55,8 @@
         let Self::Services(services) = self else {
             return document.iter().map(|(key, _)| key.clone()).collect();
         };
-        let mut keys: BTreeSet<_> = document.keys_of(Kind::Zones).cloned().collect();
+        let common = document.keys_of(Kind::Zones).chain(document.keys_of(Kind::Limits));
+        let mut keys: BTreeSet<_> = common.cloned().collect();
         for service in services {
             let key = ResourceKey::new(Kind::Services, service.as_str());
             for referrer in document.referrers(&key) {
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -112,12 +112,16 @@
     ResourceNotFound = 2014, 404, NotRun;
     /// The operation id was used before for a different submission.
     OperationReused = 2015, 409, NotRun;
+    /// Another whole configuration is in force than the one that this one replaces.
+    RevisionConflict = 2016, 412, NotRun;
+    /// The number of a whole configuration is not above the one in force.
+    RevisionStale = 2017, 412, NotRun;
     /// No route matches the call's host and path.
     RouteNotFound = 3001, 404, NotRun;
     /// No target of the route's service can take the call.
     NoTarget = 3002, 503, NotRun;
     /// The deadline passed before the call was sent to a target.
-    DeadlineBefore = 3003, 504, NotRun;
+    DeadlineBefore = 3003, 503, NotRun;
     /// The connection to the target broke after the call was sent.
     AnswerLost = 3004, 502, Unknown;
     /// The deadline passed after the call was sent to a target.
@@ -140,6 +144,18 @@
     AnnouncementMalformed = 3013, 400, NotRun;
     /// The call's headers are malformed or contradict each other.
     CallMalformed = 3014, 400, NotRun;
+    /// The target that the call was meant for is no longer there.
+    TargetReplaced = 3015, 503, NotRun;
+    /// The target said that it has not run the call.
+    TargetShed = 3016, 503, NotRun;
+    /// Calls to a cold target are limited at present.
+    TargetCold = 3017, 503, NotRun;
+    /// The answer is damaged, or belongs to another call.
+    AnswerDamaged = 3018, 502, Unknown;
+    /// The request broke the targets that ran it before.
+    RequestSuspect = 3019, 503, NotRun;
+    /// The call could not be answered in time.
+    Overloaded = 3020, 503, NotRun;
     /// No leader of the source is known at present.
     NoLeader = 4001, 503, NotRun;
     /// The member lost leadership before the submission was committed.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -103,6 +103,14 @@
     GroupFormed = 111, Info;
     /// A member's disk does not match the membership.
     DiskRefused = 112, Error;
+    /// The leader changes the membership by itself.
+    MembersPlaced = 113, Info;
+    /// A member without contact to the group asks to be taken in.
+    MemberOffered = 114, Info;
+    /// A whole configuration was accepted.
+    RevisionAccepted = 115, Info;
+    /// A move went a step further, was done or was taken back.
+    MoveStepped = 116, Info;
     /// A connection to a peer was established.
     LinkOpened = 201, Info;
     /// A connection to a peer ended.
@@ -127,6 +135,10 @@
     TargetExpired = 402, Warn;
     /// A target was drained.
     TargetDrained = 403, Info;
+    /// A target takes no connections and gets no calls until it reports again.
+    TargetLost = 404, Warn;
+    /// A target's report of itself can't be read and was left out.
+    ReportRefused = 405, Warn;
     /// A call was answered by the system and not by a target; logged at most once a second.
     CallRefused = 501, Warn;
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,4 +18,4 @@
     Incarnation, MemberId, NodeName, OperationId, ParseIdError, RouteName, ServiceName,
     TargetVersion, Version, ZoneName,
 };
-pub use size::{ByteSize, ParseSizeError, Rank, Share};
+pub use size::{ByteSize, ParseSizeError, PerSecond, Rank, Share};
--- a/crates/core/src/size.rs
+++ b/crates/core/src/size.rs
@@ -25,6 +25,9 @@
     /// The rank lies outside 0 to 255.
     #[error("{0:?} is not a rank; write a whole number from 0 to 255")]
     BadRank(String),
+    /// The rate is no number of 0 or more.
+    #[error("{0:?} is not a rate; write a number of 0 or more, optionally followed by /s")]
+    BadRate(String),
 }
 
 /// Number of bytes.
@@ -128,6 +131,41 @@
     }
 }
 
+/// Number of events in a second, 0 or more.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PerSecond(f64);
+
+impl PerSecond {
+    /// Wraps a rate; a negative one counts as 0.
+    pub const fn new(rate: f64) -> Self {
+        Self(rate.max(0.0))
+    }
+
+    /// Returns the number of events in a second.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl Eq for PerSecond {}
+
+impl fmt::Display for PerSecond {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for PerSecond {
+    type Err = ParseSizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.trim_end_matches("/s").parse::<f64>() {
+            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
+            _ => Err(ParseSizeError::BadRate(text.to_owned())),
+        }
+    }
+}
+
 /// Order in which waiting calls are served; 0 is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank(u8);
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,18 +1,27 @@
 //! Monotonic and wall-clock time.
 
-use std::sync::LazyLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+use rustix::time::{ClockId, clock_gettime};
 
-/// Returns the milliseconds since the process began to measure time.
+/// Microseconds in a second.
+const SECOND_US: u64 = 1_000_000;
+/// Nanoseconds in a microsecond.
+const MICRO_NS: u64 = 1_000;
+/// Microseconds in a millisecond.
+const MILLI_US: u64 = 1_000;
+
+/// Returns the milliseconds since the VM started.
 pub(crate) fn monotonic_ms() -> u64 {
-    START.elapsed().as_millis() as u64
+    monotonic_us() / MILLI_US
 }
 
-/// Returns the microseconds since the process began to measure time.
+/// Returns the microseconds since the VM started.
+///
+/// Unlike `Instant`, this counts the time for which the VM was suspended, so a lease can't outlive it.
 pub(crate) fn monotonic_us() -> u64 {
-    START.elapsed().as_micros() as u64
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * SECOND_US + now.tv_nsec as u64 / MICRO_NS
 }
 
 /// Returns the time in milliseconds since the Unix epoch.
--- a/crates/daemon/src/credentials.rs
+++ b/crates/daemon/src/credentials.rs
@@ -7,26 +7,31 @@
 use kingcuplift_keys::{Authority, Credentials, Grant};
 
 use crate::error::StartError;
-use crate::link::Endpoint;
+use crate::link::{Endpoint, Security};
 use crate::options::{KeyOptions, Options};
 
 /// Time between looks at the certificate files.
 const POLL: Duration = Duration::from_secs(2);
 
-/// Reads the certificate files, or makes temporary certificates.
-pub(crate) fn load(options: &Options) -> Result<Credentials, StartError> {
+/// Reads the certificate files, makes temporary certificates, or does without any.
+pub(crate) fn load(options: &Options) -> Result<Security, StartError> {
+    let own = || Grant {
+        name: options.name.clone(),
+        zone: options.zone.clone(),
+        roles: options.roles.clone(),
+    };
     match &options.keys {
+        KeyOptions::None => Ok(Security::Open(own())),
         KeyOptions::Temporary => {
             let (authority, _) = Authority::generate()?;
-            let (name, zone) = (options.name.clone(), options.zone.clone());
-            let issued = authority.issue(&Grant { name, zone, roles: options.roles.clone() })?;
-            Ok(Credentials {
+            let issued = authority.issue(&own())?;
+            Ok(Security::Keys(Credentials {
                 authority: authority.certificate().to_owned(),
                 certificate: issued.certificate,
                 key: issued.key,
-            })
+            }))
         }
-        KeyOptions::Files { .. } => read(&options.keys),
+        KeyOptions::Files { .. } => read(&options.keys).map(Security::Keys),
     }
 }
 
@@ -34,6 +39,9 @@
 ///
 /// Files that do not fit together are reported, and the old credentials stay in use.
 pub(crate) async fn follow(keys: KeyOptions, endpoints: Vec<Endpoint>) {
+    if !matches!(keys, KeyOptions::Files { .. }) {
+        return;
+    }
     let mut seen = modified(&keys);
     let mut tried = seen.clone();
     loop {
@@ -80,7 +88,7 @@
 /// Returns the files of authority, certificate and key; empty paths where they are temporary.
 fn files(keys: &KeyOptions) -> [&Path; 3] {
     match keys {
-        KeyOptions::Temporary => [Path::new(""); 3],
+        KeyOptions::None | KeyOptions::Temporary => [Path::new(""); 3],
         KeyOptions::Files { authority, certificate, key } => [authority, certificate, key],
     }
 }
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -6,7 +6,7 @@
 use kingcuplift_config::{Feed, Subscription, encode_update};
 use kingcuplift_core::{Digest, NodeName, Version, ZoneName};
 use kingcuplift_schema::control::{
-    Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
+    Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
 };
 use kingcuplift_traffic::TargetTable;
 use tokio::sync::Notify;
@@ -27,6 +27,8 @@
     /// Digest of what was sent last.
     digest: Option<Digest>,
     position: Option<u64>,
+    /// Number of the directory sent last.
+    directory: u64,
     replies: Vec<FreshnessReply>,
     wake: Arc<Notify>,
 }
@@ -44,6 +46,8 @@
     sessions: HashMap<SessionId, Downstream>,
     next: SessionId,
     cache: FrameCache,
+    /// All source members, with the number of the change.
+    directory: (u64, Directory),
 }
 
 impl Fanout {
@@ -75,6 +79,7 @@
             sent,
             digest: None,
             position: None,
+            directory: 0,
             replies: Vec::new(),
             wake: Arc::clone(&wake),
         };
@@ -113,6 +118,14 @@
         self.sessions.get_mut(&session)
     }
 
+    /// Takes over the list of source members, to be sent to all processes.
+    pub(crate) fn set_directory(&mut self, directory: Directory) {
+        if self.directory.1 != directory {
+            self.directory = (self.directory.0 + 1, directory);
+            self.wake_all();
+        }
+    }
+
     /// Wakes the senders of all processes.
     pub(crate) fn wake_all(&self) {
         for downstream in self.sessions.values() {
@@ -151,6 +164,10 @@
             bodies.push(downward::Body::Update(frame));
             downstream.sent = Some(feed.head());
         }
+        if downstream.directory < self.directory.0 {
+            downstream.directory = self.directory.0;
+            bodies.push(downward::Body::Directory(self.directory.1.clone()));
+        }
         bodies.extend(downstream.next_targets(table).map(downward::Body::Targets));
         bodies.extend(downstream.replies.drain(..).map(downward::Body::Freshness));
         Some(bodies.into_iter().map(|body| Downward { body: Some(body) }).collect())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,6 @@
 mod upstream;
 
 pub use error::StartError;
-pub use link::Endpoint;
+pub use link::{Endpoint, Security};
 pub use run::run;
 pub use upstream::LinkMeter;
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -7,7 +7,7 @@
 use actix::Addr;
 use actix_web::dev::Server;
 use actix_web::{HttpResponse, web};
-use kingcuplift_core::{ResultCode, ServiceName, TargetVersion};
+use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, TargetVersion};
 use serde::Deserialize;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -16,7 +16,7 @@
 use crate::listener::serve_control;
 use crate::metrics;
 use crate::node::NodeActor;
-use crate::node::control::{Announce, AskHealth, LEASE, Withdraw};
+use crate::node::control::{Announce, AskHealth, LEASE, Life, Part, Withdraw};
 use crate::node::gate::Gate;
 use crate::problem::Problem;
 
@@ -44,22 +44,60 @@
     _load: Option<String>,
 }
 
+/// What a target says of itself under the name that it gave itself at its start.
+#[derive(Debug, Deserialize)]
+struct LifeReport {
+    service: String,
+    address: String,
+    version: String,
+    slots: u32,
+    state: LifeState,
+    /// Rises with each report of one life.
+    sequence: u64,
+    /// Time for which the target stays cold, in milliseconds.
+    #[serde(default)]
+    warmup_ms: f64,
+    /// When the target started, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    born: u64,
+}
+
+/// State that a target reports.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum LifeState {
+    Ready,
+    Leaving,
+}
+
+/// What a target says of itself when it leaves.
+#[derive(Debug, Default, Deserialize)]
+struct LeaveReport {
+    #[serde(default)]
+    born: u64,
+}
+
 /// Query of a withdrawal.
 #[derive(Debug, Deserialize)]
 struct WithdrawQuery {
     version: Option<String>,
 }
 
-/// Opens the targets' interface.
+/// Opens the targets' interface, and the readiness answer on an address of its own where there is one.
 pub(crate) fn serve_admin(
     address: SocketAddr,
+    ready: Option<SocketAddr>,
     actor: Addr<NodeActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    serve_control(address, move |app| {
+    let addresses: Vec<SocketAddr> = std::iter::once(address).chain(ready).collect();
+    serve_control(&addresses, move |app| {
         app.app_data(web::Data::clone(&actor))
             .route("/v1/targets/{service}", web::put().to(announce))
             .route("/v1/targets/{service}", web::delete().to(withdraw))
+            .route("/v1/instances/{instance}", web::put().to(report))
+            .route("/v1/instances/{instance}", web::delete().to(leave))
+            .route("/readyz", web::get().to(readiness))
             .route("/healthz", web::get().to(health))
             .route("/metrics", web::get().to(metrics::serve));
     })
@@ -90,11 +128,77 @@
     Ok(Announce {
         service,
         version: SmolStr::new(version.as_str()),
-        address: address.to_string(),
+        address,
         slots: body.slots,
+        life: None,
+    })
+}
+
+/// Takes a target's report of itself; one that can't be read names no target.
+async fn report(
+    instance: web::Path<String>,
+    body: web::Bytes,
+    node: web::Data<Addr<NodeActor>>,
+) -> HttpResponse {
+    let message = match read_report(&instance, &body) {
+        Ok(message) => message,
+        Err(detail) => {
+            Event::ReportRefused.emit(&[("instance", &instance), ("reason", &detail)]);
+            return Problem::new(ResultCode::AnnouncementMalformed, detail).into_response();
+        }
+    };
+    match node.send(message).await {
+        Ok(()) => HttpResponse::Ok().json(json!({})),
+        Err(_) => Problem::new(ResultCode::Draining, "the node is stopping").into_response(),
+    }
+}
+
+fn read_report(instance: &str, body: &[u8]) -> Result<Announce, String> {
+    let body: LifeReport = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let service: ServiceName = body.service.parse().map_err(|e| format!("service: {e}"))?;
+    let version: TargetVersion = body.version.parse().map_err(|e| format!("version: {e}"))?;
+    let instance: NodeName = instance.parse().map_err(|e| format!("instance: {e}"))?;
+    let address: SocketAddr = body.address.parse().map_err(|e| format!("address: {e}"))?;
+    let warmup = Duration::try_from_secs_f64(body.warmup_ms / 1_000.0);
+    Ok(Announce {
+        service,
+        version: SmolStr::new(version.as_str()),
+        address,
+        slots: Some(body.slots),
+        life: Some(Life {
+            instance: SmolStr::new(instance.as_str()),
+            born: body.born,
+            sequence: body.sequence,
+            is_leaving: matches!(body.state, LifeState::Leaving),
+            warmup: warmup.map_err(|e| format!("warmup_ms: {e}"))?,
+        }),
     })
 }
 
+/// Takes a target's word that it leaves; calls in flight finish.
+async fn leave(
+    instance: web::Path<String>,
+    body: web::Bytes,
+    node: web::Data<Addr<NodeActor>>,
+) -> HttpResponse {
+    let report = match body.is_empty() {
+        true => LeaveReport::default(),
+        false => serde_json::from_slice(&body).unwrap_or_default(),
+    };
+    let message = Part { instance: SmolStr::new(instance.as_str()), born: report.born };
+    match node.send(message).await {
+        Ok(()) => HttpResponse::Ok().json(json!({})),
+        Err(_) => Problem::new(ResultCode::Draining, "the node is stopping").into_response(),
+    }
+}
+
+async fn readiness(node: web::Data<Addr<NodeActor>>) -> HttpResponse {
+    match node.send(AskHealth).await {
+        Ok(state) if state.ready && !state.stopping => HttpResponse::Ok().finish(),
+        _ => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 /// Drains a target and answers when no call is in flight.
 async fn withdraw(
     service: web::Path<String>,
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -2,176 +2,332 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use actix_web::dev::Server;
-use actix_web::{HttpRequest, HttpResponse, web};
-use awc::Client;
-use bytes::Bytes;
+use http::header::{CONNECTION, HOST, HeaderValue};
+use http::request::Parts;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use kingcuplift_config::Semantics;
 use kingcuplift_core::{Event, ResultCode, RunState};
-use kingcuplift_traffic::{
-    Attempt, Candidate, RouteMatch, ServiceView, TargetKey, View, choose, may_retry,
-};
+use kingcuplift_traffic::{Candidate, RouteMatch, ServiceView, Serving, TargetKey, View, choose};
+use smol_str::SmolStr;
 
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
-use crate::listener::serve_calls;
 use crate::metrics;
-use crate::node::forward::{self, Answer, Call, MAX_CALL, TIMEOUT_HEADER};
-use crate::node::peers::{hand_over, path_of, respond, write_envelope};
+use crate::node::body::{Body, BodyError};
+use crate::node::envelope::{Envelope, take_load};
+use crate::node::forward::{self, Answer, Call, Outcome, Refusal};
+use crate::node::headers::{self, CODE, ENVELOPE, LOAD, ROOM, strip_hop};
+use crate::node::peers::{hand_over, path_of, shorter};
+use crate::node::respond::respond;
+use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::NodeShared;
-use crate::problem::CODE_HEADER;
 
-/// Targets that one call may be sent to.
-const MAX_ATTEMPTS: usize = 4;
+/// Nodes that may refuse one call before it is refused to its caller.
+const MAX_REFUSALS: usize = 3;
 
 /// Opens the callers' interface.
 pub(crate) fn serve_callers(
     address: SocketAddr,
     threads: usize,
-    shared: Arc<NodeShared>,
-) -> Result<Server, StartError> {
+    shared: &Arc<NodeShared>,
+) -> Result<(), StartError> {
     serve_calls(address, threads, shared, take)
 }
 
-async fn take(
-    request: HttpRequest,
-    payload: web::Payload,
-    shared: web::Data<NodeShared>,
-    client: web::Data<Client>,
-) -> HttpResponse {
+async fn take(worker: Worker, request: Request<Incoming>) -> Response<Body> {
     let began = Instant::now();
-    let guard = shared.begin_call();
-    let outcome = serve(&request, payload, &shared, &client, began).await;
+    let guard = worker.shared.begin_call();
+    let result = serve(&worker, request, began).await;
     drop(guard);
-    let code = outcome.as_ref().err().map_or(0, |code| code.number());
+    let code = result.as_ref().err().map_or(0, |refusal| refusal.code.number());
     metrics::CALLS.with_label_values(&[code.to_string()]).inc();
     metrics::CALL_TIME.observe(began.elapsed().as_secs_f64());
-    if let Err(code) = &outcome {
-        log::debug!("call to {} refused: {code}", request.uri());
+    let mut response = respond(result);
+    let headers = response.headers_mut();
+    for name in [LOAD, ROOM] {
+        headers.remove(name);
     }
-    respond(outcome)
+    if worker.shared.is_draining() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 async fn serve(
-    request: &HttpRequest,
-    payload: web::Payload,
-    shared: &NodeShared,
-    client: &Client,
+    worker: &Worker,
+    request: Request<Incoming>,
     began: Instant,
-) -> Result<Answer, ResultCode> {
-    if shared.is_draining() {
-        return Err(ResultCode::Draining);
-    }
-    let view = shared.view.load_full().ok_or(ResultCode::NodeNotReady)?;
-    let route = find_route(request, &view)?;
-    let time = call_time(request, route)?;
-    let body = read_body(payload).await?;
-    let mut headers = forward::end_to_end(request.headers());
-    headers.remove(CODE_HEADER);
-    let call = Call {
-        method: request.method().clone(),
-        path: path_of(request),
-        headers,
-        body,
-        deadline: began + time,
-        route: route.name.clone(),
+) -> Result<Answer, Refusal> {
+    let view = worker.shared.view.load_full().ok_or(ResultCode::NodeNotReady)?;
+    let (parts, incoming) = request.into_parts();
+    let route = find_route(&parts, &view)?;
+    let time = call_time(&worker.shared, &parts, route)?;
+    let body = match Body::read(incoming, view.limits().body.get()).await {
+        Ok(body) => body,
+        Err(BodyError::Broken(_)) => return Err(ResultCode::CallMalformed.into()),
+        Err(BodyError::TooLong) => return Err(ResultCode::BodyTooLarge.into()),
     };
-    let service = view.service(route.service.as_str()).ok_or(ResultCode::NoTarget)?;
-    try_targets(shared, client, service, route, call).await
+    let call = make_call(&worker.shared, parts, body, route, began, time);
+    let name = route.draw_service(&mut rand::rng());
+    let service = view.service(name.as_str()).ok_or(ResultCode::NoTarget)?;
+    let is_idempotent = match route.semantics {
+        Some(semantics) => semantics == Semantics::Idempotent,
+        None => service.spec.idempotent.iter().any(|method| method == call.method.as_str()),
+    };
+    let name = SmolStr::new(name.as_str());
+    worker.shared.budget().call(&name, monotonic_ms());
+    let attempts = Attempts {
+        worker,
+        service,
+        name,
+        is_idempotent,
+        most: route.attempts,
+        tried: Vec::new(),
+        sent: 0,
+        refusals: 0,
+    };
+    attempts.run(call).await
 }
 
-fn find_route<'a>(request: &HttpRequest, view: &'a View) -> Result<&'a RouteMatch, ResultCode> {
-    let host = request.headers().get("host").and_then(|value| value.to_str().ok());
+fn find_route<'a>(parts: &Parts, view: &'a View) -> Result<&'a RouteMatch, ResultCode> {
+    let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = host.ok_or(ResultCode::CallMalformed)?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-    view.router().find(&name, request.path()).ok_or(ResultCode::RouteNotFound)
+    view.router().find(&name, parts.uri.path()).ok_or(ResultCode::RouteNotFound)
 }
 
 /// Returns the time that the call may take: the route's, or what the caller has left.
-fn call_time(request: &HttpRequest, route: &RouteMatch) -> Result<Duration, ResultCode> {
-    let Some(value) = request.headers().get(TIMEOUT_HEADER) else {
+fn call_time(
+    shared: &NodeShared,
+    parts: &Parts,
+    route: &RouteMatch,
+) -> Result<Duration, ResultCode> {
+    let Some(text) = headers::text(&parts.headers, shared.headers.time_left.as_ref()) else {
         return Ok(route.timeout);
     };
-    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
-    let millis = millis.ok_or(ResultCode::CallMalformed)?;
-    Ok(route.timeout.min(Duration::from_millis(millis)))
+    let millis: f64 = text.trim().parse().map_err(|_invalid| ResultCode::CallMalformed)?;
+    let left = Duration::try_from_secs_f64(millis / 1_000.0);
+    let left = left.map_err(|_invalid| ResultCode::CallMalformed)?;
+    Ok(shorter(route.timeout, Some(left)))
 }
 
-async fn read_body(payload: web::Payload) -> Result<Bytes, ResultCode> {
-    match payload.to_bytes_limited(MAX_CALL.as_usize()).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(_)) => Err(ResultCode::CallMalformed),
-        Err(_) => Err(ResultCode::BodyTooLarge),
+fn make_call(
+    shared: &NodeShared,
+    parts: Parts,
+    body: Body,
+    route: &RouteMatch,
+    began: Instant,
+    time: Duration,
+) -> Call {
+    let mut headers = parts.headers;
+    strip_hop(&mut headers);
+    for name in [CODE, ENVELOPE] {
+        headers.remove(name);
+    }
+    let names = &shared.headers;
+    if let Some(name) = &names.instance {
+        headers.remove(name);
+    }
+    if let Some(name) = &names.caller {
+        headers.remove(name);
+        if let Some(service) = shared.service.load().as_deref() {
+            headers::set(&mut headers, Some(name), service.as_str());
+        }
+    }
+    let id = names.call.as_ref().and_then(|name| headers.get(name).cloned());
+    Call {
+        method: parts.method,
+        path: path_of(&parts.uri),
+        headers,
+        body,
+        deadline: began + time,
+        objective: began + route.objective.min(time),
+        route: route.name.clone(),
+        rank: route.rank,
+        id,
     }
 }
 
-/// Sends the call to one target after another, as far as that can't run it twice.
-async fn try_targets(
-    shared: &NodeShared,
-    client: &Client,
-    service: &ServiceView,
-    route: &RouteMatch,
-    call: Call,
-) -> Result<Answer, ResultCode> {
-    let idempotent = service.spec.idempotent.iter().any(|m| m == call.method.as_str());
-    let mut tried: Vec<TargetKey> = Vec::new();
-    let mut last = ResultCode::NoTarget;
-    shared.budget.earn();
-    while tried.len() < MAX_ATTEMPTS {
-        if !tried.is_empty() && !shared.budget.spend() {
-            break;
+/// What may become of a call after one attempt.
+enum Next {
+    /// The caller gets this.
+    Settled(Result<Answer, Refusal>),
+    /// Another target may be tried; the caller gets this if none is.
+    Again(Result<Answer, Refusal>),
+}
+
+/// Attempts of one call.
+struct Attempts<'a> {
+    worker: &'a Worker,
+    service: &'a ServiceView,
+    name: SmolStr,
+    is_idempotent: bool,
+    /// Most targets that the call is sent to.
+    most: usize,
+    tried: Vec<TargetKey>,
+    /// Targets that the call has reached.
+    sent: usize,
+    /// Nodes that have refused the call.
+    refusals: usize,
+}
+
+impl Attempts<'_> {
+    /// Sends the call to one target after another, as far as that can't run it twice.
+    async fn run(mut self, call: Call) -> Result<Answer, Refusal> {
+        let version = self.service.serving.draw(&mut rand::rng());
+        let mut last: Result<Answer, Refusal> = Err(ResultCode::NoTarget.into());
+        let mut next = Some(call);
+        while let Some(call) = next.take() {
+            let chosen = choose(
+                &self.service.candidates,
+                &self.worker.shared.zone,
+                version,
+                &self.tried,
+                monotonic_ms(),
+                &mut rand::rng(),
+            );
+            let Some(candidate) = chosen else { break };
+            self.tried.push(candidate.key.clone());
+            let copy = call.copy();
+            let route = call.route.clone();
+            let outcome = attempt(self.worker, candidate, call).await;
+            self.learn(candidate, &route, &outcome);
+            match self.judge(outcome.result) {
+                Next::Settled(result) => return result,
+                Next::Again(result) => {
+                    last = worse(last, result);
+                    next = copy.filter(|copy| !copy.time_left().is_zero());
+                }
+            }
+        }
+        if let Err(refusal) = &last
+            && self.worker.shared.may_log_refusal(monotonic_ms())
+        {
+            Event::CallRefused.emit(&[("code", &refusal.code), ("service", &self.name)]);
+        }
+        last
+    }
+
+    /// Decides whether the call may go to another target.
+    fn judge(&mut self, result: Result<Answer, Refusal>) -> Next {
+        match &result {
+            Ok(answer) if answer.status.is_server_error() && self.is_idempotent => {
+                self.sent += 1;
+                self.repeat(result)
+            }
+            Ok(_) => Next::Settled(result),
+            Err(refusal) => match (refusal.code, refusal.code.run()) {
+                (ResultCode::TargetShed | ResultCode::TargetReplaced, _) => {
+                    self.sent += 1;
+                    self.repeat(result)
+                }
+                (_, RunState::NotRun) => {
+                    self.refusals += 1;
+                    match self.refusals < MAX_REFUSALS {
+                        true => Next::Again(result),
+                        false => Next::Settled(result),
+                    }
+                }
+                (ResultCode::DeadlineAfter, _) => Next::Settled(result),
+                _ if self.is_idempotent => {
+                    self.sent += 1;
+                    self.repeat(result)
+                }
+                _ => Next::Settled(result),
+            },
+        }
+    }
+
+    /// Allows another attempt if the route and the budget of all nodes do.
+    fn repeat(&self, result: Result<Answer, Refusal>) -> Next {
+        if self.sent >= self.most {
+            return Next::Settled(result);
+        }
+        let nodes = self.worker.shared.nodes.load(Ordering::Relaxed);
+        match self.worker.shared.budget().spend(&self.name, nodes, monotonic_ms()) {
+            true => Next::Again(result),
+            false => Next::Settled(result),
         }
+    }
+
+    /// Learns from what became of an attempt.
+    fn learn(&self, candidate: &Candidate, route: &SmolStr, outcome: &Outcome) {
         let now = monotonic_ms();
-        let chosen = choose(&service.candidates, &shared.zone, &tried, now, &mut rand::rng());
-        let Some(candidate) = chosen else { break };
-        tried.push(candidate.key.clone());
-        let outcome = attempt(shared, client, candidate, route, &call).await;
-        let Err(code) = outcome else {
-            candidate.answered();
-            return outcome;
-        };
-        candidate.refused(monotonic_ms());
-        // A retry must not turn "unknown" into "not run".
-        last = match last.run() {
-            RunState::Unknown => last,
-            _ => code,
+        if let Some(load) = outcome.load {
+            candidate.report(load, now);
+        }
+        let failed = match &outcome.result {
+            Ok(answer) => answer.status.is_server_error(),
+            Err(refusal) => match refusal.code {
+                ResultCode::TargetShed | ResultCode::AnswerLost | ResultCode::AnswerDamaged => true,
+                ResultCode::DeadlineAfter => true,
+                _ => {
+                    candidate.refused(now);
+                    return;
+                }
+            },
         };
-        let failed = Attempt { run: code.run(), idempotent };
-        if !may_retry(failed) || call.time_left().is_zero() {
-            break;
+        candidate.judge(failed, now);
+        if outcome.result.is_ok() {
+            candidate.answered();
+        }
+        let mut evidence = self.worker.shared.evidence();
+        let service = outcome.service.unwrap_or_default();
+        if !failed && let Some(service) = outcome.service {
+            candidate.time(evidence.time(route, service));
+        }
+        if matches!(self.service.serving, Serving::Split { .. }) {
+            evidence.count(&candidate.key, route, failed, service);
         }
     }
-    if shared.may_log_refusal(monotonic_ms()) {
-        Event::CallRefused.emit(&[("code", &last), ("route", &route.name)]);
+}
+
+/// Returns the outcome that a caller must be told: "unknown" must not turn into "not run".
+fn worse(
+    before: Result<Answer, Refusal>,
+    now: Result<Answer, Refusal>,
+) -> Result<Answer, Refusal> {
+    match (&before, &now) {
+        (Ok(_), Err(_)) => before,
+        (Err(held), Err(new))
+            if held.code.run() == RunState::Unknown && new.code.run() == RunState::NotRun =>
+        {
+            before
+        }
+        _ => now,
     }
-    Err(last)
 }
 
 /// Sends the call to one target, here or beside another node.
-async fn attempt(
-    shared: &NodeShared,
-    client: &Client,
-    candidate: &Candidate,
-    route: &RouteMatch,
-    call: &Call,
-) -> Result<Answer, ResultCode> {
+async fn attempt(worker: &Worker, candidate: &Candidate, mut call: Call) -> Outcome {
     let load = Load::begin(candidate);
-    let outcome = match candidate.key.node == shared.name.as_str() {
-        true => hand_over(shared, client, &candidate.key, route.rank, call).await,
-        false => {
-            let mut call = call.clone();
-            write_envelope(&mut call.headers, &candidate.key, route.rank, &route.name);
-            let answer = forward::send(client, &candidate.peer, &call).await;
-            answer.and_then(unwrap_refusal)
-        }
+    if candidate.key.node == worker.shared.name.as_str() {
+        let outcome = hand_over(worker, &candidate.key, &candidate.instance, call).await;
+        drop(load);
+        return outcome;
+    }
+    let Ok(peer) = candidate.peer.parse::<SocketAddr>() else {
+        return Refusal::from(ResultCode::TargetRefused).into();
     };
+    Envelope::of(&call, &candidate.key, &candidate.instance).write(&mut call.headers);
+    let answer = forward::send(&worker.pool, peer, call, true).await;
     drop(load);
-    outcome
+    match answer {
+        Ok(answer) => unwrap_answer(answer),
+        Err(code) => {
+            if code == ResultCode::TargetRefused {
+                worker.pool.forget(peer);
+            }
+            Refusal::from(code).into()
+        }
+    }
 }
 
 /// Counts a call as load of a target until dropped.
-#[derive(Debug)]
 struct Load<'a>(&'a Candidate);
 
 impl<'a> Load<'a> {
@@ -187,11 +343,19 @@
     }
 }
 
-/// Turns an answer that the other node made itself back into its code.
-fn unwrap_refusal(answer: Answer) -> Result<Answer, ResultCode> {
-    let Some(value) = answer.headers.get(CODE_HEADER) else {
-        return Ok(answer);
+/// Takes apart what another node answered; its own refusals become codes again.
+fn unwrap_answer(mut answer: Answer) -> Outcome {
+    let told = take_load(&mut answer.headers);
+    let (load, service) = (told.map(|(load, _)| load), told.and_then(|(_, service)| service));
+    let result = match answer.headers.get(CODE) {
+        None => Ok(answer),
+        Some(value) => {
+            let number = value.to_str().ok().and_then(|text| text.parse::<u16>().ok());
+            let code = number.and_then(ResultCode::from_number).unwrap_or(ResultCode::AnswerLost);
+            let room = headers::text(&answer.headers, Some(&ROOM));
+            let room = room.and_then(|text| text.parse().ok()).map(Duration::from_millis);
+            Err(Refusal { code, room })
+        }
     };
-    let number = value.to_str().ok().and_then(|text| text.parse::<u16>().ok());
-    Err(number.and_then(ResultCode::from_number).unwrap_or(ResultCode::AnswerLost))
+    Outcome { result, load, service }
 }
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -1,50 +1,38 @@
-//! Sends one call over HTTP/1.1 and reads the whole answer.
+//! Sends one call over HTTP/1.1 and reads the answer.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_web::http::{Method, StatusCode};
-use awc::Client;
-use awc::error::{PayloadError, SendRequestError};
-use bytes::Bytes;
-use kingcuplift_core::{ByteSize, ResultCode};
+use http::header::{HeaderMap, HeaderValue};
+use http::{Method, Request, StatusCode};
+use kingcuplift_core::{ByteSize, Rank, ResultCode};
+use kingcuplift_traffic::LoadReport;
 use smol_str::SmolStr;
 
-/// Largest body of a call.
-pub(crate) const MAX_CALL: ByteSize = ByteSize::mib(4);
-/// Largest body of an answer.
-const MAX_ANSWER: ByteSize = ByteSize::mib(16);
-/// Longest time to open a connection.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-/// Time after which an unused connection is closed; shorter than the other side's.
-const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// Header with what is left of the deadline, in milliseconds.
-pub(crate) const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+use crate::node::body::Body;
+use crate::node::headers::strip_hop;
+use crate::node::pool::Pool;
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
+/// Largest body of an answer.
+const MAX_ANSWER: ByteSize = ByteSize::mib(256);
 
 /// A call to send.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) method: Method,
     /// Path and query.
-    pub(crate) path: String,
+    pub(crate) path: SmolStr,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
+    /// Time at which the call's value is lost.
     pub(crate) deadline: Instant,
+    /// Time up to which an answer has its full value.
+    pub(crate) objective: Instant,
     /// Name of the route.
     pub(crate) route: SmolStr,
+    pub(crate) rank: Rank,
+    /// Id that the target repeats.
+    pub(crate) id: Option<HeaderValue>,
 }
 
 impl Call {
@@ -52,96 +40,104 @@
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Returns a second copy, if the body is held whole.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        Some(Self {
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body: self.body.copy()?,
+            deadline: self.deadline,
+            objective: self.objective,
+            route: self.route.clone(),
+            rank: self.rank,
+            id: self.id.clone(),
+        })
+    }
 }
 
-/// A whole answer.
-#[derive(Debug, Clone)]
+/// An answer of a target.
+#[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
+}
+
+/// Reason why a call has no answer of a target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Refusal {
+    pub(crate) code: ResultCode,
+    /// Time after which there would be room.
+    pub(crate) room: Option<Duration>,
 }
 
-/// Makes the client of one thread.
-pub(crate) fn client() -> Client {
-    let connector =
-        awc::Connector::new().timeout(CONNECT_LIMIT).conn_keep_alive(IDLE_LIMIT).limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .finish()
+impl From<ResultCode> for Refusal {
+    fn from(code: ResultCode) -> Self {
+        Self { code, room: None }
+    }
+}
+
+/// What became of a call at one target.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    pub(crate) result: Result<Answer, Refusal>,
+    /// Load of the target, where its node said so.
+    pub(crate) load: Option<LoadReport>,
+    /// Time that the target took.
+    pub(crate) service: Option<Duration>,
+}
+
+impl From<Refusal> for Outcome {
+    fn from(refusal: Refusal) -> Self {
+        Self { result: Err(refusal), load: None, service: None }
+    }
 }
 
-/// Sends a call to `address` and reads the whole answer.
+/// Sends a call to `address` and reads the answer, for as long as the call has time.
 ///
 /// The error's run state says whether any byte may have reached the other side.
 pub(crate) async fn send(
-    client: &Client,
-    address: &str,
-    call: &Call,
+    pool: &Pool,
+    address: SocketAddr,
+    call: Call,
+    reuse: bool,
 ) -> Result<Answer, ResultCode> {
     let time = call.time_left();
     if time.is_zero() {
         return Err(ResultCode::DeadlineBefore);
     }
-    let exchange = exchange(client, address, call, time);
-    match tokio::time::timeout(time, exchange).await {
+    let id = call.id.clone();
+    match tokio::time::timeout(time, exchange(pool, address, call, reuse)).await {
         Ok(outcome) => outcome,
-        Err(_) => Err(ResultCode::DeadlineAfter),
+        Err(_) => {
+            log::debug!("call {id:?} to {address} had no answer in {time:?}");
+            Err(ResultCode::DeadlineAfter)
+        }
     }
 }
 
 async fn exchange(
-    client: &Client,
-    address: &str,
-    call: &Call,
-    time: Duration,
+    pool: &Pool,
+    address: SocketAddr,
+    call: Call,
+    reuse: bool,
 ) -> Result<Answer, ResultCode> {
-    let url = format!("http://{address}{}", call.path);
-    let mut request = client.request(call.method.clone(), url).no_decompress();
-    let headers = request.headers_mut();
-    for (name, value) in call.headers.iter() {
-        headers.append(name.clone(), value.clone());
-    }
-    let millis = HeaderValue::from(time.as_millis() as u64);
-    headers.insert(HeaderName::from_static(TIMEOUT_HEADER), millis);
-    let mut response = request.send_body(call.body.clone()).await.map_err(|e| send_code(&e))?;
-    let body = response.body().limit(MAX_ANSWER.as_usize()).await.map_err(|e| body_code(&e))?;
-    let headers = end_to_end(response.headers());
-    Ok(Answer { status: response.status(), headers, body })
-}
-
-/// Returns the headers that are handed on.
-pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all("connection")
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let dropped =
-            HOP_HEADERS.contains(&name.as_str()) || named.iter().any(|n| n == name.as_str());
-        if !dropped {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
-
-fn send_code(error: &SendRequestError) -> ResultCode {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => ResultCode::TargetRefused,
-        _ => ResultCode::AnswerLost,
-    }
-}
-
-fn body_code(error: &PayloadError) -> ResultCode {
-    match error {
-        PayloadError::Overflow => ResultCode::AnswerTooLarge,
-        _ => ResultCode::AnswerLost,
+    let mut request = Request::new(call.body);
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse().map_err(|_invalid| ResultCode::CallMalformed)?;
+    *request.headers_mut() = call.headers;
+    let (response, lease) = pool.send(address, request, reuse).await?;
+    let (parts, incoming) = response.into_parts();
+    let body = Body::read(incoming, MAX_ANSWER.get()).await.map_err(|error| {
+        log::debug!("the answer of {address} broke off: {error}");
+        ResultCode::AnswerLost
+    })?;
+    if matches!(body, Body::Whole(_)) {
+        pool.give_back(lease);
     }
+    let mut headers = parts.headers;
+    strip_hop(&mut headers);
+    Ok(Answer { status: parts.status, headers, body })
 }
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -4,26 +4,46 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use kingcuplift_core::{Rank, ResultCode};
+use kingcuplift_core::{PerSecond, Rank, ResultCode};
 use kingcuplift_traffic::{
-    Admission, CallId, ConcurrencyLimit, Decision, Limits, Release, Response,
+    Admission, CallId, CallTimes, ConcurrencyLimit, Decision, Limits, LoadReport, Release, Response,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use crate::clock::monotonic_us;
+use crate::node::forward::Refusal;
 
 /// Answer to a waiting call.
 type Verdict = Result<(), ResultCode>;
 
+/// Calls that a target runs at a time.
+#[derive(Debug)]
+enum Bearing {
+    /// As many as it states.
+    Stated(u32),
+    /// As its own answers show.
+    Learnt(ConcurrencyLimit),
+}
+
+impl Bearing {
+    fn limit(&self) -> u32 {
+        match self {
+            Self::Stated(slots) => *slots,
+            Self::Learnt(limit) => limit.limit(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     admission: Admission,
-    /// Calls that the target bears at present, at most its slots.
-    bearing: ConcurrencyLimit,
+    bearing: Bearing,
     queue: u32,
     waiters: HashMap<CallId, oneshot::Sender<Verdict>>,
     next: CallId,
+    /// Whether a task waits for the rate of a cold target.
+    is_pacing: bool,
 }
 
 /// Admission state of one target.
@@ -45,6 +65,11 @@
     pub(crate) fn finish(mut self, route: &SmolStr, response: Response) {
         self.learnt = Some((route.clone(), response));
     }
+
+    /// Returns the time since the call got its slot.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.began.elapsed()
+    }
 }
 
 /// A place in the queue, given back when dropped.
@@ -57,8 +82,17 @@
 }
 
 impl Gate {
-    pub(crate) fn new(limits: Limits) -> Self {
-        let bearing = ConcurrencyLimit::new(limits.slots);
+    /// Makes the gate of a target that says how many calls it runs at a time.
+    pub(crate) fn stated(limits: Limits) -> Self {
+        Self::with(limits, Bearing::Stated(limits.slots))
+    }
+
+    /// Makes the gate of a target whose own answers show how many calls it bears.
+    pub(crate) fn learning(limits: Limits) -> Self {
+        Self::with(limits, Bearing::Learnt(ConcurrencyLimit::new(limits.slots)))
+    }
+
+    fn with(limits: Limits, bearing: Bearing) -> Self {
         let first = Limits { slots: bearing.limit(), queue: limits.queue };
         let state = State {
             admission: Admission::new(first),
@@ -66,17 +100,36 @@
             queue: limits.queue,
             waiters: HashMap::new(),
             next: 0,
+            is_pacing: false,
         };
         Self { state: Mutex::new(state) }
     }
 
-    pub(crate) fn set_limits(&self, limits: Limits) {
+    pub(crate) fn set_limits(self: &Arc<Self>, limits: Limits) {
         let mut state = self.lock();
-        state.bearing.set_slots(limits.slots);
+        match &mut state.bearing {
+            Bearing::Stated(slots) => *slots = limits.slots,
+            Bearing::Learnt(limit) => limit.set_slots(limits.slots),
+        }
         state.queue = limits.queue;
         state.follow_bearing();
         let released = state.admission.release(monotonic_us());
         state.dispatch(released);
+        self.follow_pace(&mut state);
+    }
+
+    /// Limits the rate of calls for a time, because the target is cold.
+    pub(crate) fn set_pace(&self, rate: PerSecond, time: Duration) {
+        let now = monotonic_us();
+        self.lock().admission.set_pace(rate, now + time.as_micros() as u64, now);
+    }
+
+    /// Ends the limit on the rate of calls.
+    pub(crate) fn clear_pace(&self) {
+        let mut state = self.lock();
+        state.admission.clear_pace();
+        let released = state.admission.release(monotonic_us());
+        state.dispatch(released);
     }
 
     /// Refuses all calls that arrive from now on.
@@ -94,60 +147,117 @@
         self.lock().admission.is_idle()
     }
 
+    /// Returns the load of the target.
+    pub(crate) fn load(&self) -> LoadReport {
+        let state = self.lock();
+        let waiting = state.admission.waiting() as u32;
+        LoadReport {
+            busy: state.admission.running() + waiting,
+            limit: state.admission.effective_slots(monotonic_us()),
+        }
+    }
+
     /// Waits for a slot until the call's time is up.
     pub(crate) async fn enter(
         self: &Arc<Self>,
         rank: Rank,
         time: Duration,
-    ) -> Result<Permit, ResultCode> {
-        let Some(mut place) = self.arrive(rank, time)? else {
+        objective: Duration,
+    ) -> Result<Permit, Refusal> {
+        let Some(mut place) = self.arrive(rank, time, objective)? else {
             return Ok(self.permit());
         };
         let verdict = tokio::time::timeout(time, &mut place.verdict).await;
         let verdict = match verdict {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(_)) => Err(ResultCode::Displaced),
-            Err(_) => return Err(ResultCode::DeadlineBefore),
+            Err(_) => return Err(self.refusal(ResultCode::DeadlineBefore, rank)),
         };
         place.is_settled = true;
-        verdict.map(|()| self.permit())
+        verdict.map(|()| self.permit()).map_err(|code| self.refusal(code, rank))
     }
 
     /// Takes a slot at once (`None`) or a place in the queue.
-    fn arrive(self: &Arc<Self>, rank: Rank, time: Duration) -> Result<Option<Place>, ResultCode> {
+    fn arrive(
+        self: &Arc<Self>,
+        rank: Rank,
+        time: Duration,
+        objective: Duration,
+    ) -> Result<Option<Place>, Refusal> {
         let now = monotonic_us();
+        let times = CallTimes {
+            objective_us: now + objective.as_micros() as u64,
+            deadline_us: now + time.as_micros() as u64,
+        };
         let mut state = self.lock();
         state.next += 1;
         let id = state.next;
-        match state.admission.arrive(id, rank, now + time.as_micros() as u64, now) {
+        match state.admission.arrive_by(id, rank, times, now) {
             Decision::Run => Ok(None),
-            Decision::Refuse(code) => Err(code),
+            Decision::Refuse(code) => {
+                let wait = state.admission.expected_wait(rank, now);
+                Err(Refusal { code, room: Some(Duration::from_micros(wait)) })
+            }
             Decision::Wait { displaced } => {
                 if let Some(loser) = displaced.and_then(|loser| state.waiters.remove(&loser)) {
                     let _ = loser.send(Err(ResultCode::Displaced));
                 }
                 let (sender, verdict) = oneshot::channel();
                 state.waiters.insert(id, sender);
+                self.follow_pace(&mut state);
                 Ok(Some(Place { gate: Arc::clone(self), id, verdict, is_settled: false }))
             }
         }
     }
 
+    fn refusal(&self, code: ResultCode, rank: Rank) -> Refusal {
+        let wait = self.lock().admission.expected_wait(rank, monotonic_us());
+        Refusal { code, room: Some(Duration::from_micros(wait)) }
+    }
+
     fn permit(self: &Arc<Self>) -> Permit {
         Permit { gate: Arc::clone(self), began: Instant::now(), learnt: None }
     }
 
     /// Takes a slot back; a call that never reached the target teaches nothing.
-    fn finish(&self, service: Duration, learnt: Option<(SmolStr, Response)>) {
+    fn finish(self: &Arc<Self>, service: Duration, learnt: Option<(SmolStr, Response)>) {
         let (time_us, now_us) = (service.as_micros() as u64, monotonic_us());
         let mut state = self.lock();
-        if let Some((route, response)) = learnt {
-            let running = state.admission.running();
-            state.bearing.record(&route, response, time_us, running, now_us);
+        let running = state.admission.running();
+        if let (Bearing::Learnt(limit), Some((route, response))) = (&mut state.bearing, learnt) {
+            limit.record(&route, response, time_us, running, now_us);
             state.follow_bearing();
         }
         let released = state.admission.finish(time_us, now_us);
         state.dispatch(released);
+        self.follow_pace(&mut state);
+    }
+
+    /// Starts a task that lets calls run at the rate of a cold target, while any wait for that.
+    fn follow_pace(self: &Arc<Self>, state: &mut State) {
+        let Some(due) = state.admission.next_release(monotonic_us()) else { return };
+        if std::mem::replace(&mut state.is_pacing, true) {
+            return;
+        }
+        let gate = Arc::clone(self);
+        tokio::task::spawn_local(async move {
+            let mut due = Some(due);
+            while let Some(at) = due {
+                let wait = Duration::from_micros(at.saturating_sub(monotonic_us()));
+                tokio::time::sleep(wait).await;
+                due = gate.release();
+            }
+        });
+    }
+
+    /// Gives free slots to waiting calls and returns when the rate lets the next one run.
+    fn release(&self) -> Option<u64> {
+        let mut state = self.lock();
+        let released = state.admission.release(monotonic_us());
+        state.dispatch(released);
+        let due = state.admission.next_release(monotonic_us());
+        state.is_pacing = due.is_some();
+        due
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -4,30 +4,25 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix_web::dev::Server;
-use actix_web::http::StatusCode;
-use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_web::{HttpRequest, HttpResponse, web};
-use awc::Client;
-use kingcuplift_core::{Rank, ResultCode};
-use kingcuplift_traffic::{Response, TargetKey};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use kingcuplift_core::{ByteSize, ResultCode};
+use kingcuplift_traffic::{Response as Made, TargetKey};
 use smol_str::SmolStr;
 
 use crate::error::StartError;
-use crate::listener::serve_calls;
 use crate::metrics;
-use crate::node::forward::{self, Answer, Call, MAX_CALL, TIMEOUT_HEADER};
-use crate::node::shared::NodeShared;
-use crate::problem::{CODE_HEADER, Problem};
+use crate::node::body::{Body, BodyError};
+use crate::node::control::TargetDown;
+use crate::node::envelope::{Envelope, write_load};
+use crate::node::forward::{self, Answer, Call, Outcome, Refusal};
+use crate::node::headers::{self, CODE, strip_hop};
+use crate::node::respond::{refuse, respond};
+use crate::node::server::{Worker, serve_calls};
+use crate::node::shared::{LocalTarget, NodeShared};
 
-/// Header that names the service of a call between nodes.
-pub(crate) const SERVICE_HEADER: &str = "kingcuplift-service";
-/// Header that names the target's version.
-pub(crate) const VERSION_HEADER: &str = "kingcuplift-version";
-/// Header with the call's rank.
-pub(crate) const RANK_HEADER: &str = "kingcuplift-rank";
-/// Header that names the route of a call between nodes.
-const ROUTE_HEADER: &str = "kingcuplift-route";
+/// Largest body of a call between nodes; the entry node applies the callers' limit.
+const MAX_CALL: ByteSize = ByteSize::mib(1_024);
 /// Statuses by which a target says that it has too much to do.
 const SHED: [StatusCode; 2] = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
 
@@ -35,136 +30,142 @@
 pub(crate) fn serve_peers(
     address: SocketAddr,
     threads: usize,
-    shared: Arc<NodeShared>,
-) -> Result<Server, StartError> {
+    shared: &Arc<NodeShared>,
+) -> Result<(), StartError> {
     serve_calls(address, threads, shared, take)
 }
 
-async fn take(
-    request: HttpRequest,
-    payload: web::Payload,
-    shared: web::Data<NodeShared>,
-    client: web::Data<Client>,
-) -> HttpResponse {
+async fn take(worker: Worker, request: Request<Incoming>) -> Response<Body> {
     let began = Instant::now();
-    let Some(Envelope { key, rank, time, route }) = read_envelope(request.headers(), &shared)
-    else {
-        let detail = "the call lacks the headers of a call between nodes";
-        return Problem::new(ResultCode::CallMalformed, detail).into_response();
+    let (parts, incoming) = request.into_parts();
+    let mut headers = parts.headers;
+    let Some(envelope) = Envelope::take(&mut headers) else {
+        return refuse(ResultCode::CallMalformed.into());
     };
-    let Ok(Ok(body)) = payload.to_bytes_limited(MAX_CALL.as_usize()).await else {
-        let detail = format!("the body is broken or longer than {MAX_CALL}");
-        return Problem::new(ResultCode::BodyTooLarge, detail).into_response();
+    let body = match Body::read(incoming, MAX_CALL.get()).await {
+        Ok(body) => body,
+        Err(BodyError::Broken(_)) => return refuse(ResultCode::CallMalformed.into()),
+        Err(BodyError::TooLong) => return refuse(ResultCode::BodyTooLarge.into()),
+    };
+    strip_hop(&mut headers);
+    let id = worker.shared.headers.call.as_ref().and_then(|name| headers.get(name).cloned());
+    let key = TargetKey {
+        service: envelope.service,
+        version: envelope.version,
+        node: SmolStr::new(worker.shared.name.as_str()),
     };
-    let mut headers = forward::end_to_end(request.headers());
-    for name in [SERVICE_HEADER, VERSION_HEADER, RANK_HEADER, ROUTE_HEADER] {
-        headers.remove(name);
-    }
     let call = Call {
-        method: request.method().clone(),
-        path: path_of(&request),
+        method: parts.method,
+        path: path_of(&parts.uri),
         headers,
         body,
-        deadline: began + time,
-        route,
+        deadline: began + envelope.time,
+        objective: began + envelope.objective,
+        route: envelope.route,
+        rank: envelope.rank,
+        id,
     };
-    respond(hand_over(&shared, &client, &key, rank, &call).await)
+    let outcome = hand_over(&worker, &key, &envelope.instance, call).await;
+    let (load, service) = (outcome.load, outcome.service);
+    let mut response = respond(outcome.result);
+    if let Some(load) = load {
+        write_load(response.headers_mut(), load, service);
+    }
+    response
 }
 
 /// Admits a call to a target beside this node and sends it there.
 pub(crate) async fn hand_over(
-    shared: &NodeShared,
-    client: &Client,
+    worker: &Worker,
     key: &TargetKey,
-    rank: Rank,
-    call: &Call,
-) -> Result<Answer, ResultCode> {
-    let guard = shared.begin_call();
-    let outcome = hand_over_counted(shared, client, key, rank, call).await;
+    instance: &SmolStr,
+    call: Call,
+) -> Outcome {
+    let guard = worker.shared.begin_call();
+    let local = worker.shared.locals.load().get(key).cloned();
+    let outcome = match local {
+        None => Refusal::from(ResultCode::TargetReplaced).into(),
+        Some(local) if !instance.is_empty() && local.instance != *instance => {
+            Refusal::from(ResultCode::TargetReplaced).into()
+        }
+        Some(local) => admit(worker, key, &local, call).await,
+    };
     drop(guard);
-    let code = outcome.as_ref().err().map_or(0, |code| code.number());
+    let code = outcome.result.as_ref().err().map_or(0, |refusal| refusal.code.number());
     metrics::HANDED.with_label_values(&[code.to_string()]).inc();
     outcome
 }
 
-async fn hand_over_counted(
-    shared: &NodeShared,
-    client: &Client,
-    key: &TargetKey,
-    rank: Rank,
-    call: &Call,
-) -> Result<Answer, ResultCode> {
-    let local = shared.locals.load().get(key).cloned().ok_or(ResultCode::NoTarget)?;
-    let permit = local.gate.enter(rank, call.time_left()).await?;
-    let outcome = forward::send(client, &local.address, call).await;
-    permit.finish(&call.route, response_of(&outcome));
-    let mut answer = outcome?;
-    answer.headers.remove(CODE_HEADER);
-    Ok(answer)
+async fn admit(worker: &Worker, key: &TargetKey, local: &LocalTarget, call: Call) -> Outcome {
+    let objective = call.objective.saturating_duration_since(Instant::now());
+    let permit = match local.gate.enter(call.rank, call.time_left(), objective).await {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            return Outcome { result: Err(refusal), load: Some(local.gate.load()), service: None };
+        }
+    };
+    let route = call.route.clone();
+    let result = run(worker, local, call).await;
+    let service = permit.elapsed();
+    let made = made_of(&result);
+    permit.finish(&route, made);
+    if matches!(result, Err(ResultCode::TargetRefused)) {
+        worker.pool.forget(local.address);
+        TargetDown { key: key.clone(), instance: local.instance.clone() }.send(&worker.shared);
+    }
+    let took = result.is_ok().then_some(service);
+    Outcome {
+        result: result.map_err(Refusal::from),
+        load: Some(local.gate.load()),
+        service: took,
+    }
 }
 
-/// Returns what a call's outcome says of the target.
-fn response_of(outcome: &Result<Answer, ResultCode>) -> Response {
-    match outcome {
-        Ok(answer) if SHED.contains(&answer.status) => Response::Shed,
-        Ok(_) | Err(ResultCode::AnswerTooLarge) => Response::Answered,
-        Err(_) => Response::Lost,
+/// Sends a call to the target beside this node and checks whose answer comes.
+async fn run(worker: &Worker, local: &LocalTarget, mut call: Call) -> Result<Answer, ResultCode> {
+    let names = &worker.shared.headers;
+    let left = call.time_left().as_millis().to_string();
+    headers::set(&mut call.headers, names.time_left.as_ref(), &left);
+    if !local.instance.is_empty() {
+        headers::set(&mut call.headers, names.instance.as_ref(), &local.instance);
+    }
+    let id = call.id.clone();
+    let mut answer = forward::send(&worker.pool, local.address, call, true).await?;
+    answer.headers.remove(CODE);
+    let echoed = names.call.as_ref().map(|name| answer.headers.get(name).cloned());
+    let is_own = echoed.is_none_or(|echoed| echoed.is_none() || echoed == id);
+    let not_run = names.not_run.as_ref().is_some_and(|name| answer.headers.contains_key(name));
+    let is_sealed = names.seal.as_ref().is_none_or(|name| answer.headers.contains_key(name));
+    match answer.status {
+        _ if !is_own => {
+            worker.pool.forget(local.address);
+            Err(ResultCode::AnswerDamaged)
+        }
+        StatusCode::MISDIRECTED_REQUEST if names.instance.is_some() => {
+            Err(ResultCode::TargetReplaced)
+        }
+        _ if not_run => Err(ResultCode::TargetShed),
+        status if status.is_success() && !is_sealed => Err(ResultCode::AnswerDamaged),
+        _ => Ok(answer),
     }
 }
 
-/// Makes the HTTP answer of a call.
-pub(crate) fn respond(outcome: Result<Answer, ResultCode>) -> HttpResponse {
-    let answer = match outcome {
-        Ok(answer) => answer,
-        Err(code) => return Problem::new(code, code.meaning()).into_response(),
-    };
-    let mut response = HttpResponse::build(answer.status);
-    for (name, value) in answer.headers {
-        response.append_header((name, value));
+/// Returns what a call's outcome says of the target.
+fn made_of(result: &Result<Answer, ResultCode>) -> Made {
+    match result {
+        Ok(answer) if SHED.contains(&answer.status) => Made::Shed,
+        Err(ResultCode::TargetShed) => Made::Shed,
+        Ok(_) | Err(ResultCode::AnswerTooLarge) => Made::Answered,
+        Err(_) => Made::Lost,
     }
-    response.body(answer.body)
 }
 
 /// Returns the path and query of a request.
-pub(crate) fn path_of(request: &HttpRequest) -> String {
-    request.uri().path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string)
+pub(crate) fn path_of(uri: &http::Uri) -> SmolStr {
+    uri.path_and_query().map_or_else(|| SmolStr::new_static("/"), |path| SmolStr::new(path.as_str()))
 }
 
-/// Adds the headers of a call between nodes.
-pub(crate) fn write_envelope(
-    headers: &mut HeaderMap,
-    key: &TargetKey,
-    rank: Rank,
-    route: &SmolStr,
-) {
-    let mut insert = |name: &'static str, text: &str| {
-        if let Ok(value) = HeaderValue::from_str(text) {
-            headers.insert(HeaderName::from_static(name), value);
-        }
-    };
-    insert(SERVICE_HEADER, &key.service);
-    insert(VERSION_HEADER, &key.version);
-    insert(RANK_HEADER, &rank.to_string());
-    insert(ROUTE_HEADER, route);
-}
-
-/// What a call between nodes says besides the call itself.
-struct Envelope {
-    key: TargetKey,
-    rank: Rank,
-    time: Duration,
-    route: SmolStr,
-}
-
-fn read_envelope(headers: &HeaderMap, shared: &NodeShared) -> Option<Envelope> {
-    let text = |name: &str| headers.get(name)?.to_str().ok();
-    let key = TargetKey {
-        service: SmolStr::new(text(SERVICE_HEADER)?),
-        version: SmolStr::new(text(VERSION_HEADER)?),
-        node: SmolStr::new(shared.name.as_str()),
-    };
-    let rank = text(RANK_HEADER)?.parse().ok()?;
-    let millis = text(TIMEOUT_HEADER)?.parse().ok()?;
-    let route = SmolStr::new(text(ROUTE_HEADER)?);
-    Some(Envelope { key, rank, time: Duration::from_millis(millis), route })
+/// Returns the shorter of two times.
+pub(crate) fn shorter(left: Duration, right: Option<Duration>) -> Duration {
+    right.map_or(left, |right| left.min(right))
 }
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -1,14 +1,20 @@
 //! State that the threads of a node read on every call.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
+use actix::Recipient;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kingcuplift_core::{NodeName, Version, ZoneName};
-use kingcuplift_traffic::{RetryBudget, TargetKey, View};
+use kingcuplift_core::{NodeName, ServiceName, Version, ZoneName};
+use kingcuplift_traffic::{RepeatBudget, RepeatLimits, TargetKey, View};
+use smol_str::SmolStr;
+use tokio::sync::watch;
 
+use crate::node::control::TargetDown;
+use crate::node::evidence::EvidenceTable;
 use crate::node::gate::Gate;
+use crate::node::headers::HeaderNames;
 
 /// Shortest time between two logged refusals of calls, in milliseconds.
 const REFUSAL_LOG_INTERVAL: u64 = 1_000;
@@ -16,7 +22,9 @@
 /// A target beside this node.
 #[derive(Debug)]
 pub(crate) struct LocalTarget {
-    pub(crate) address: String,
+    pub(crate) address: std::net::SocketAddr,
+    /// Name that the target gave itself at its start; empty when it gave none.
+    pub(crate) instance: SmolStr,
     pub(crate) gate: Arc<Gate>,
 }
 
@@ -28,11 +36,20 @@
 pub struct NodeShared {
     pub(crate) name: NodeName,
     pub(crate) zone: ZoneName,
+    pub(crate) headers: HeaderNames,
+    /// Service of the VM, for calls that begin here.
+    pub(crate) service: ArcSwapOption<ServiceName>,
     /// Absent until a configuration is proved to be current.
     pub(crate) view: ArcSwapOption<View>,
     pub(crate) locals: ArcSwap<Locals>,
-    pub(crate) budget: RetryBudget,
+    budget: Mutex<RepeatBudget>,
+    evidence: Mutex<EvidenceTable>,
+    /// Who is told of a target that takes no connections.
+    pub(crate) control: OnceLock<Recipient<TargetDown>>,
+    /// Nodes with a target, this one included.
+    pub(crate) nodes: AtomicUsize,
     is_draining: AtomicBool,
+    closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
     /// Time after which the next refused call is logged, in milliseconds.
     refusal_log_at: AtomicU64,
@@ -44,32 +61,72 @@
         Self {
             name,
             zone,
+            headers: HeaderNames::default(),
+            service: ArcSwapOption::empty(),
             view: ArcSwapOption::empty(),
             locals: ArcSwap::default(),
-            budget: RetryBudget::default(),
+            budget: Mutex::new(RepeatBudget::new(RepeatLimits::default())),
+            evidence: Mutex::new(EvidenceTable::default()),
+            control: OnceLock::new(),
+            nodes: AtomicUsize::new(1),
             is_draining: AtomicBool::new(false),
+            closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             refusal_log_at: AtomicU64::new(0),
         }
     }
 
+    /// Sets the names of headers, the budget of repeats and the service of the VM.
+    #[must_use]
+    pub fn with_rules(
+        mut self,
+        headers: HeaderNames,
+        repeats: RepeatLimits,
+        service: Option<ServiceName>,
+    ) -> Self {
+        self.headers = headers;
+        self.budget = Mutex::new(RepeatBudget::new(repeats));
+        self.service.store(service.map(Arc::new));
+        self
+    }
+
     /// Returns the version in force, or 0 when there is none.
     pub fn version(&self) -> Version {
         self.view.load().as_ref().map_or(Version::default(), |view| view.version())
     }
 
-    /// Refuses new calls from now on.
-    pub(crate) fn drain(&self) {
+    /// Returns the budget of repeats.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what calls show of targets.
+    pub(crate) fn evidence(&self) -> MutexGuard<'_, EvidenceTable> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Says on the readiness address that callers should go elsewhere; calls are still served.
+    pub(crate) fn begin_stop(&self) {
         self.is_draining.store(true, Ordering::Release);
+    }
+
+    /// Refuses calls from other nodes and ends each connection with its next answer.
+    pub(crate) fn close(&self) {
         for local in self.locals.load().values() {
             local.gate.close();
         }
+        self.closing.send_replace(true);
     }
 
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
     }
 
+    /// Returns a receiver that is told when connections are to end.
+    pub(crate) fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
     /// Returns the number of calls that this node is working on.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
@@ -84,17 +141,17 @@
     }
 
     /// Counts a call until the guard is dropped.
-    pub(crate) fn begin_call(&self) -> CallGuard<'_> {
+    pub(crate) fn begin_call(self: &Arc<Self>) -> CallGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
-        CallGuard(self)
+        CallGuard(Arc::clone(self))
     }
 }
 
 /// Counts one call in flight.
 #[derive(Debug)]
-pub(crate) struct CallGuard<'a>(&'a NodeShared);
+pub(crate) struct CallGuard(Arc<NodeShared>);
 
-impl Drop for CallGuard<'_> {
+impl Drop for CallGuard {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -13,16 +13,29 @@
 };
 use kingcuplift_keys::{Role, RoleSet};
 use kingcuplift_schema::settings as wire;
+use kingcuplift_traffic::RepeatLimits;
+use http::HeaderName;
 use log::LevelFilter;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
 use crate::error::StartError;
+use crate::node::HeaderNames;
 
 /// Time without a leader after which an election may begin, unless set.
 const DEFAULT_ELECTION: Duration = Duration::from_millis(500);
 /// Permitted election times, in milliseconds.
 const ELECTION_RANGE: std::ops::RangeInclusive<u64> = 50..=60_000;
+/// Largest part of a move's calls before the target version is proved, unless set, in per cent.
+const DEFAULT_TRIAL: f64 = 10.0;
+/// The whole, in per cent.
+const PER_CENT: f64 = 100.0;
+/// Time for a stop, unless set; calls take less by default.
+const DEFAULT_STOP: Duration = Duration::from_secs(30);
+/// Milliseconds in a second.
+const MS: f64 = 1_000.0;
+/// Longest time in the settings, in milliseconds: one day.
+const MAX_TIME_MS: f64 = 86_400_000.0;
 /// Threads that serve calls, unless set.
 const DEFAULT_THREADS: usize = 1;
 /// Most threads that serve calls.
@@ -56,6 +69,8 @@
 /// Where the certificates come from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyOptions {
+    /// Links use TCP without certificates.
+    None,
     /// Made at start and held in memory; only for one process with all roles.
     Temporary,
     /// Read from PEM files.
@@ -72,16 +87,28 @@
 /// Options of the source role.
 #[derive(Debug, Clone)]
 pub struct SourceOptions {
-    /// Number of this member.
-    pub id: MemberId,
+    /// Number of this member; absent where members find each other through seeds.
+    pub id: Option<MemberId>,
     /// Folder of the durable state.
     pub data: PathBuf,
     /// Address of the operators' interface.
     pub http: SocketAddr,
     /// Address for other members and relays.
     pub listen: SocketAddr,
-    /// The initial members, this one included.
+    /// The initial members, this one included; empty where they find each other through seeds.
     pub members: Vec<MemberOptions>,
+    /// Addresses of some members.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the relay in the same process.
+    pub relay: Option<SocketAddr>,
+    /// Availability zone of the VM.
+    pub zone: ZoneName,
+    /// Whether the whole site starts for the first time, with empty disks.
+    pub is_first: bool,
+    /// Whether the leader writes down which target version of a service takes the calls.
+    pub holds_versions: bool,
+    /// Largest part of a move's calls that a target version gets before it is proved, 0 to 1.
+    pub trial_part: f64,
     /// Time without a leader after which an election may begin.
     pub election: Duration,
 }
@@ -123,6 +150,35 @@
     pub services: Vec<ServiceName>,
     /// Threads that serve calls.
     pub threads: usize,
+    /// Address of the readiness answer, beside that on the targets' interface.
+    pub ready: Option<SocketAddr>,
+    /// Service of the target beside the node.
+    pub service: Option<ServiceName>,
+    /// Address of the target beside the node.
+    pub target: Option<SocketAddr>,
+    /// Headers that callers and targets use.
+    pub headers: HeaderNames,
+    /// Repeats that all nodes together may send.
+    pub repeats: RepeatLimits,
+    /// Time for a stop.
+    pub stop: Duration,
+}
+
+/// How processes find each other.
+#[derive(Debug, Clone, Default)]
+struct LinkOptions {
+    is_open: bool,
+    seeds: Vec<SocketAddr>,
+    source_port: Option<u16>,
+    relay_port: Option<u16>,
+}
+
+impl LinkOptions {
+    /// Returns the seeds with another port.
+    fn seeds_at(&self, port: Option<u16>) -> Vec<SocketAddr> {
+        let moved = |seed: &SocketAddr| SocketAddr::new(seed.ip(), port.unwrap_or(seed.port()));
+        self.seeds.iter().map(moved).collect()
+    }
 }
 
 impl Options {
@@ -189,6 +245,7 @@
                 "source" => self.check_section::<wire::SourceSettings>(&path, part),
                 "relay" => self.check_section::<wire::RelaySettings>(&path, part),
                 "node" => self.check_section::<wire::NodeSettings>(&path, part),
+                "links" => self.check_section::<wire::LinkSettings>(&path, part),
                 _ => {
                     top.insert(name.clone(), value.clone());
                     continue;
@@ -217,17 +274,25 @@
         let log = wire.log.unwrap_or_default();
         let log_format = self.optional("/log/format", log.format.as_deref(), Format::Text);
         let log_level = self.optional("/log/level", log.level.as_deref(), LevelFilter::Info);
-        let keys = self.keys(wire.keys, &roles);
+        let links = self.links(&wire.links.unwrap_or_default());
+        let keys = match links.is_open {
+            true => Some(KeyOptions::None),
+            false => self.keys(wire.keys, &roles),
+        };
         let source = match roles.contains(&Role::Source) {
-            true => Some(self.source(wire.source.unwrap_or_default())?),
+            true => {
+                let relay = wire.relay.as_ref().and_then(|relay| relay.listen.clone());
+                let zone = zone.clone()?;
+                Some(self.source(wire.source.unwrap_or_default(), &links, relay, zone)?)
+            }
             false => None,
         };
         let relay = match roles.contains(&Role::Relay) {
-            true => Some(self.relay(wire.relay.unwrap_or_default())?),
+            true => Some(self.relay(wire.relay.unwrap_or_default(), &links)?),
             false => None,
         };
         let node = match roles.contains(&Role::Node) {
-            true => Some(self.node(wire.node.unwrap_or_default())?),
+            true => Some(self.node(wire.node.unwrap_or_default(), &links)?),
             false => None,
         };
         Some(Options {
@@ -289,8 +354,48 @@
         Some(KeyOptions::Files { authority: authority?, certificate: certificate?, key: key? })
     }
 
-    fn source(&mut self, wire: wire::SourceSettings) -> Option<SourceOptions> {
-        let id = self.member_id("/source/id", wire.id);
+    fn links(&mut self, wire: &wire::LinkSettings) -> LinkOptions {
+        let is_open = match wire.security.as_deref() {
+            Some("open") => true,
+            Some("keys") | None => false,
+            Some(other) => {
+                let detail = format!("{other:?} is unknown; use \"keys\" or \"open\"");
+                self.bad(ResultCode::SettingsBadValue, "/links/security", detail);
+                false
+            }
+        };
+        let mut seeds = Vec::new();
+        for (i, text) in wire.seeds.iter().enumerate() {
+            seeds.extend(self.required::<SocketAddr>(&format!("/links/seeds/{i}"), Some(text)));
+        }
+        let source_port = self.port("/links/source_port", wire.source_port);
+        let relay_port = self.port("/links/relay_port", wire.relay_port);
+        LinkOptions { is_open, seeds, source_port, relay_port }
+    }
+
+    fn port(&mut self, path: &str, port: Option<u32>) -> Option<u16> {
+        match port.map(u16::try_from) {
+            Some(Ok(port)) if port > 0 => Some(port),
+            Some(_) => {
+                self.bad(ResultCode::SettingsBadValue, path, "use 1 to 65535");
+                None
+            }
+            None => None,
+        }
+    }
+
+    fn source(
+        &mut self,
+        wire: wire::SourceSettings,
+        links: &LinkOptions,
+        relay: Option<String>,
+        zone: ZoneName,
+    ) -> Option<SourceOptions> {
+        let finds_itself = wire.members.is_empty() && !links.seeds.is_empty();
+        let id = match finds_itself {
+            true => None,
+            false => Some(self.member_id("/source/id", wire.id)?),
+        };
         let data = self.required("/source/data", wire.data.as_deref());
         let http = self.required("/source/http", wire.http.as_deref());
         let listen = self.required("/source/listen", wire.listen.as_deref());
@@ -298,19 +403,31 @@
         for (i, member) in wire.members.iter().enumerate() {
             members.extend(self.member(&format!("/source/members/{i}"), member));
         }
-        self.check_members(&members, id);
+        if !finds_itself {
+            self.check_members(&members, id);
+        }
         let default = DEFAULT_ELECTION.as_millis() as u64;
         let election = wire.election_ms.unwrap_or(default);
         if !ELECTION_RANGE.contains(&election) {
             let detail = "use 50 to 60000";
             self.bad(ResultCode::SettingsBadValue, "/source/election_ms", detail);
         }
+        let trial = wire.trial_share.unwrap_or(DEFAULT_TRIAL);
+        if !(0.0..=PER_CENT).contains(&trial) {
+            self.bad(ResultCode::SettingsBadValue, "/source/trial_share", "use 0 to 100");
+        }
         Some(SourceOptions {
-            id: id?,
+            id,
             data: data?,
             http: http?,
             listen: listen?,
             members,
+            seeds: links.seeds_at(links.source_port),
+            relay: relay.and_then(|relay| relay.parse().ok()),
+            zone,
+            is_first: wire.first_start.unwrap_or(false),
+            holds_versions: wire.hold_versions.unwrap_or(false),
+            trial_part: trial / PER_CENT,
             election: Duration::from_millis(election),
         })
     }
@@ -348,18 +465,24 @@
         }
     }
 
-    fn relay(&mut self, wire: wire::RelaySettings) -> Option<RelayOptions> {
+    fn relay(&mut self, wire: wire::RelaySettings, links: &LinkOptions) -> Option<RelayOptions> {
         let listen = self.required("/relay/listen", wire.listen.as_deref());
         let http = self.required("/relay/http", wire.http.as_deref());
-        let sources = self.list("/relay/sources", &wire.sources);
+        let sources = match (wire.sources.is_empty(), links.seeds_at(links.source_port)) {
+            (true, seeds) if !seeds.is_empty() => seeds,
+            _ => self.list("/relay/sources", &wire.sources),
+        };
         Some(RelayOptions { listen: listen?, http: http?, sources })
     }
 
-    fn node(&mut self, wire: wire::NodeSettings) -> Option<NodeOptions> {
+    fn node(&mut self, wire: wire::NodeSettings, links: &LinkOptions) -> Option<NodeOptions> {
         let callers = self.required("/node/callers", wire.callers.as_deref());
         let peers = self.required("/node/peers", wire.peers.as_deref());
         let admin = self.required("/node/admin", wire.admin.as_deref());
-        let relays = self.list("/node/relays", &wire.relays);
+        let relays = match (wire.relays.is_empty(), links.seeds_at(links.relay_port)) {
+            (true, seeds) if !seeds.is_empty() => seeds,
+            _ => self.list("/node/relays", &wire.relays),
+        };
         let mut services = Vec::new();
         for (i, text) in wire.services.iter().enumerate() {
             services
@@ -377,9 +500,67 @@
             relays,
             services,
             threads: threads as usize,
+            ready: self.maybe("/node/ready", wire.ready.as_deref()),
+            service: self.maybe("/node/service", wire.service.as_deref()),
+            target: self.maybe("/node/target", wire.target.as_deref()),
+            headers: self.headers(wire.headers),
+            repeats: self.repeats(&wire.repeats.unwrap_or_default()),
+            stop: self.duration("/node/stop_ms", wire.stop_ms, DEFAULT_STOP),
         })
     }
 
+    fn headers(&mut self, wire: Option<wire::HeaderSettings>) -> HeaderNames {
+        let Some(wire) = wire else { return HeaderNames::default() };
+        let mut name = |field: &str, text: Option<&str>| match text {
+            None | Some("") => None,
+            text => self.required::<HeaderName>(&format!("/node/headers/{field}"), text),
+        };
+        HeaderNames {
+            call: name("call", wire.call.as_deref()),
+            time_left: name("time_left", wire.time_left.as_deref()),
+            seal: name("seal", wire.seal.as_deref()),
+            instance: name("instance", wire.instance.as_deref()),
+            not_run: name("not_run", wire.not_run.as_deref()),
+            caller: name("caller", wire.caller.as_deref()),
+            own_instance: name("own_instance", wire.own_instance.as_deref()),
+            warmup: name("warmup", wire.warmup.as_deref()),
+        }
+    }
+
+    fn repeats(&mut self, wire: &wire::RepeatSettings) -> RepeatLimits {
+        let default = RepeatLimits::default();
+        let ratio = wire.ratio.unwrap_or(default.ratio);
+        let slack = wire.slack.unwrap_or(default.slack);
+        if ratio < 0.0 || slack < 0.0 {
+            self.bad(ResultCode::SettingsBadValue, "/node/repeats", "use numbers of 0 or more");
+        }
+        let window = Duration::from_millis(default.window_ms);
+        let window_ms = wire.window_s.map(|seconds| seconds * MS);
+        let window = self.duration("/node/repeats/window_s", window_ms, window);
+        RepeatLimits { ratio, slack, window_ms: window.as_millis() as u64 }
+    }
+
+    /// Reads a time in milliseconds.
+    fn duration(&mut self, path: &str, ms: Option<f64>, default: Duration) -> Duration {
+        match ms {
+            None => default,
+            Some(ms) if (1.0..=MAX_TIME_MS).contains(&ms) => Duration::from_secs_f64(ms / MS),
+            Some(_) => {
+                self.bad(ResultCode::SettingsBadValue, path, "use 1 to 86400000 milliseconds");
+                default
+            }
+        }
+    }
+
+    /// Reads an optional text field; a faulty one is reported.
+    fn maybe<T>(&mut self, path: &str, text: Option<&str>) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        text.and_then(|text| self.required(path, Some(text)))
+    }
+
     /// Parses a list of addresses that must not be empty.
     fn list(&mut self, path: &str, texts: &[String]) -> Vec<SocketAddr> {
         if texts.is_empty() {
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// Header that marks an answer as made by the system, with the result code.
-pub(crate) const CODE_HEADER: &str = "kingcuplift-code";
+const CODE_HEADER: &str = "kingcuplift-code";
 
 /// A problem document.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -20,7 +20,7 @@
 use crate::metrics;
 use crate::relay::sums;
 use crate::session::{self, FromBelow, Join, Joined, Leave, Pull};
-use crate::upstream::{FromAbove, LinkMeter, Upstream};
+use crate::upstream::{Addresses, FromAbove, LinkMeter, Upstream};
 
 /// Shortest time between two sends to one node.
 const PUSH_INTERVAL: Duration = Duration::from_millis(50);
@@ -50,6 +50,7 @@
     name: NodeName,
     zone: ZoneName,
     upstream: Option<Upstream>,
+    addresses: Addresses,
     above: Option<mpsc::Sender<Upward>>,
     /// Whether the process above has sent anything on the present link; before that it may refuse.
     is_linked: bool,
@@ -74,10 +75,12 @@
         meter: Arc<LinkMeter>,
     ) -> Self {
         let role = Role::Source;
+        let addresses = Addresses::new(sources);
         Self {
             name,
             zone,
-            upstream: Some(Upstream { endpoint, role, addresses: sources, meter }),
+            upstream: Some(Upstream { endpoint, role, addresses: addresses.clone(), meter }),
+            addresses,
             above: None,
             is_linked: false,
             feed: Feed::default(),
@@ -120,7 +123,12 @@
             downward::Body::Update(frame) => self.update(&frame),
             downward::Body::Targets(update) => self.merge_targets(update.targets),
             downward::Body::Freshness(reply) => self.proved_fresh(reply),
-            downward::Body::Redirect(_) => {}
+            downward::Body::Directory(directory) => {
+                let sources = directory.places.iter().filter_map(|place| place.source.parse().ok());
+                self.addresses.learn(sources.collect());
+                self.fanout.set_directory(directory);
+            }
+            downward::Body::Suspect(_) | downward::Body::Redirect(_) => {}
         }
     }
 
@@ -316,7 +324,8 @@
                 self.ask_freshness();
             }
             upward::Body::Resync(_) => self.fanout.resync(session),
-            upward::Body::Hello(_) | upward::Body::Progress(_) => {}
+            upward::Body::Evidence(evidence) => drop(self.send_above(upward::Body::Evidence(evidence))),
+            upward::Body::Suspect(_) | upward::Body::Hello(_) | upward::Body::Progress(_) => {}
         }
     }
 }
--- a/crates/daemon/src/relay/http.rs
+++ b/crates/daemon/src/relay/http.rs
@@ -19,7 +19,7 @@
     actor: Addr<RelayActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    serve_control(address, move |app| {
+    serve_control(&[address], move |app| {
         app.app_data(web::Data::clone(&actor))
             .route("/healthz", web::get().to(health))
             .route("/metrics", web::get().to(metrics::serve));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,18 +2,17 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, Addr};
 use actix_web::dev::{Server, ServerHandle};
 use kingcuplift_core::{Event, logger};
-use kingcuplift_keys::Credentials;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::cli::Arguments;
 use crate::credentials;
 use crate::error::StartError;
-use crate::link::Endpoint;
+use crate::link::{Endpoint, Security};
 use crate::metrics;
 use crate::node::{self, NodeActor, NodeShared};
 use crate::options::{NodeOptions, Options, RelayOptions, SourceOptions};
@@ -22,6 +21,8 @@
 
 /// Time for which other nodes hear of a stop before new calls are refused.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
+/// Time between looks whether all calls have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time for a successor to take over leadership.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(300);
 
@@ -31,7 +32,16 @@
     endpoints: Vec<Endpoint>,
     servers: Vec<ServerHandle>,
     source: Option<Addr<SourceActor>>,
-    node: Option<(Addr<NodeActor>, Arc<NodeShared>)>,
+    node: Option<RunningNode>,
+}
+
+/// The node role of this process.
+#[derive(Debug)]
+struct RunningNode {
+    actor: Addr<NodeActor>,
+    shared: Arc<NodeShared>,
+    /// Time for a stop.
+    stop: Duration,
 }
 
 /// Checks the settings and runs the process until it is told to stop.
@@ -75,7 +85,7 @@
         &mut self,
         options: &Options,
         source: SourceOptions,
-        credentials: &Credentials,
+        credentials: &Security,
     ) -> Result<(), StartError> {
         let endpoint = self.bind(source.listen, credentials)?;
         let http = source.http;
@@ -90,7 +100,7 @@
         &mut self,
         options: &Options,
         relay: &RelayOptions,
-        credentials: &Credentials,
+        credentials: &Security,
     ) -> Result<(), StartError> {
         let endpoint = self.bind(relay.listen, credentials)?;
         let (name, zone) = (options.name.clone(), options.zone.clone());
@@ -111,11 +121,13 @@
         &mut self,
         options: &Options,
         node: &NodeOptions,
-        credentials: &Credentials,
+        credentials: &Security,
     ) -> Result<(), StartError> {
         let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
         let endpoint = self.bind(any, credentials)?;
-        let shared = Arc::new(NodeShared::new(options.name.clone(), options.zone.clone()));
+        let shared = NodeShared::new(options.name.clone(), options.zone.clone());
+        let (headers, service) = (node.headers.clone(), node.service.clone());
+        let shared = Arc::new(shared.with_rules(headers, node.repeats, service));
         let actor = NodeActor::new(
             Arc::clone(&shared),
             node.peers.to_string(),
@@ -125,10 +137,10 @@
             metrics::control_link(),
         )
         .start();
-        self.serve(node::serve_peers(node.peers, node.threads, Arc::clone(&shared))?);
-        self.serve(node::serve_callers(node.callers, node.threads, Arc::clone(&shared))?);
-        self.serve(node::serve_admin(node.admin, actor.clone())?);
-        self.node = Some((actor, shared));
+        node::serve_peers(node.peers, node.threads, &shared)?;
+        node::serve_callers(node.callers, node.threads, &shared)?;
+        self.serve(node::serve_admin(node.admin, node.ready, actor.clone())?);
+        self.node = Some(RunningNode { actor, shared, stop: node.stop });
         Ok(())
     }
 
@@ -136,7 +148,7 @@
     fn bind(
         &mut self,
         address: SocketAddr,
-        credentials: &Credentials,
+        credentials: &Security,
     ) -> Result<Endpoint, StartError> {
         let endpoint = Endpoint::bind(address, credentials)?;
         self.endpoints.push(endpoint.clone());
@@ -155,11 +167,8 @@
             let _ = source.send(HandOver).await;
             tokio::time::sleep(HAND_OVER_LIMIT).await;
         }
-        if let Some((actor, shared)) = &self.node {
-            let _ = actor.send(node::Drain).await;
-            tokio::time::sleep(LEAVE_NOTICE).await;
-            shared.drain();
-            Event::CallsDraining.emit(&[("calls", &shared.in_flight())]);
+        if let Some(node) = &self.node {
+            node.stop().await;
         }
         for server in &self.servers {
             server.stop(true).await;
@@ -167,6 +176,25 @@
     }
 }
 
+impl RunningNode {
+    /// Sends callers elsewhere, then refuses calls from other nodes, then waits for those in flight.
+    async fn stop(&self) {
+        let began = Instant::now();
+        self.shared.begin_stop();
+        if self.actor.send(node::Drain).await.is_err() {
+            log::warn!("the node's actor ended before the stop");
+        }
+        tokio::time::sleep(LEAVE_NOTICE.min(self.stop / 3)).await;
+        self.shared.close();
+        Event::CallsDraining.emit(&[("calls", &self.shared.in_flight())]);
+        while self.shared.in_flight() > 0 && began.elapsed() < self.stop {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        // Connections write what is left of their last answers.
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 async fn wait_for_signal() {
     let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     match (terminate, interrupt) {
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -13,6 +13,9 @@
 use crate::fanout::SessionId;
 use crate::link::{Accepted, LinkError, Reader, Writer};
 
+/// Longest time for a peer to close a link after a redirect.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Asks to serve a downstream process.
 #[derive(Debug, Message)]
 #[rtype(result = "Result<Joined, Redirect>")]
@@ -69,7 +72,7 @@
 }
 
 async fn serve_admitted<A>(
-    accepted: Accepted,
+    mut accepted: Accepted,
     addr: Addr<A>,
     interval: Duration,
 ) -> Result<(), LinkError>
@@ -78,7 +81,7 @@
     A::Context:
         ToEnvelope<A, Join> + ToEnvelope<A, Pull> + ToEnvelope<A, FromBelow> + ToEnvelope<A, Leave>,
 {
-    let (send, receive) = accepted.connection.accept_bi().await?;
+    let (send, receive) = accepted.link.accept_both().await?;
     let mut writer: Writer<Downward> = Writer::new(send);
     let mut reader: Reader<Upward> = Reader::new(receive);
     let Some(upward::Body::Hello(hello)) = reader.receive().await?.body else {
@@ -90,7 +93,8 @@
         Ok(Err(redirect)) => {
             let body = Some(downward::Body::Redirect(redirect));
             writer.send(&Downward { body }).await?;
-            accepted.connection.closed().await;
+            // The peer closes the link once it has read the redirect.
+            drop(tokio::time::timeout(CLOSE_LIMIT, reader.receive()).await);
             return Ok(());
         }
         Err(_) => return Err(LinkError::Ended),
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -7,6 +7,7 @@
 mod links;
 mod members;
 mod messages;
+mod moves;
 mod operators;
 mod query;
 mod relays;
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -9,11 +9,11 @@
 use kingcuplift_config::{Catalog, Outcome, Submission};
 use kingcuplift_core::{Event, MemberId, NodeName, ResultCode};
 use kingcuplift_quorum::{
-    DiskFolder, Effect, Event as Input, Formation, Identity, Members, Millis, Notice, Record,
-    Refusal, Replica, Restored, RoleName, Store, Timing, Token,
+    DiskFolder, Effect, Event as Input, Formation, Founders, Identity, Members, Millis, Notice,
+    Placement, Record, Refusal, Replica, Restored, RoleName, Store, Timing, Token,
 };
 use kingcuplift_schema::Message as _;
-use kingcuplift_schema::quorum::{Entry, Peer, Snapshot, entry, peer};
+use kingcuplift_schema::quorum::{Entry, Peer, Snapshot, Voter, entry, peer};
 use rand::Rng;
 use tokio::sync::{mpsc, oneshot};
 
@@ -24,11 +24,14 @@
 use crate::source::answer::Answer;
 use crate::source::links::{FromPeer, dial_member};
 use crate::source::members;
+use crate::source::moves::{MOVE_INTERVAL, MoveControl};
 use crate::source::relays::Relays;
 use crate::source::writer::{self, Job, Written};
 
-/// Time between ticks of the state machine.
-const TICK: Duration = Duration::from_millis(20);
+/// Ticks of the state machine within one election time.
+const TICKS: u32 = 20;
+/// Numbers that members draw for themselves lie below this; JSON holds them exactly.
+const MAX_MEMBER: u64 = 1 << 53;
 /// Time between looks for targets that are gone; each look passes over all targets.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Heartbeats within one election time.
@@ -57,7 +60,14 @@
     pub(crate) stage: Stage,
     pub(crate) store: Option<Store<DiskFolder>>,
     writer: Option<Sender<Job>>,
-    dialed: HashMap<MemberId, (String, mpsc::Sender<Box<Peer>>)>,
+    /// Senders by address.
+    dialed: HashMap<String, mpsc::Sender<Box<Peer>>>,
+    /// This member as others know it.
+    pub(crate) own: Voter,
+    /// Processes that have offered themselves.
+    pub(crate) placement: Placement,
+    /// Moves that the leader carries out.
+    pub(crate) moves: MoveControl,
     pub(crate) catalog: Catalog,
     answers: HashMap<Token, oneshot::Sender<Answer>>,
     token: Token,
@@ -78,7 +88,13 @@
             _ => kingcuplift_quorum::StoreError::Io { file: ".".to_owned(), source },
         })?;
         let fresh = rand::rng().random_range(1..u64::MAX);
-        let (store, recovery) = Store::open(folder, options.id, fresh)?;
+        let (store, recovery) = match options.id {
+            Some(id) => Store::open(folder, id, fresh)?,
+            None => {
+                let drawn = MemberId::new(rand::rng().random_range(1..MAX_MEMBER));
+                Store::open_any(folder, drawn, fresh)?
+            }
+        };
         let entries = recovery.restored.entries.len();
         Event::LogRecovered.emit(&[("entries", &entries)]);
         if recovery.truncated > 0 {
@@ -86,14 +102,12 @@
         }
         let catalog = Catalog::decode(&recovery.restored.snapshot.state)?;
         let identity = recovery.identity;
+        let own = own_entry(identity, &options);
         let stage = match recovery.restored.snapshot.membership {
             Some(_) => Stage::Member(new_replica(identity, &options, recovery.restored)),
-            None => {
-                let initial = options.members.iter().map(|member| member.id).collect();
-                let (listen, http) = (options.listen.to_string(), options.http.to_string());
-                Stage::Forming(Formation::new(identity, &listen, &http, initial))
-            }
+            None => Stage::Forming(Formation::new(own.clone(), founders(&options))),
         };
+        let moves = MoveControl::new(options.trial_part);
         Ok(Self {
             options,
             name,
@@ -103,6 +117,9 @@
             store: Some(store),
             writer: None,
             dialed: HashMap::new(),
+            own,
+            placement: Placement::default(),
+            moves,
             catalog,
             answers: HashMap::new(),
             token: 0,
@@ -141,7 +158,10 @@
             Some(entry::Body::Membership(_)) => return self.answer_change(token),
             _ => return,
         };
-        let Ok(submission) = Submission::decode(command.as_ref()) else { return };
+        let submission = match Submission::decode(command.as_ref()) {
+            Ok(submission) => submission,
+            Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
+        };
         let outcome = self.catalog.apply(&submission);
         let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
         if is_leader {
@@ -157,14 +177,26 @@
 
     /// Answers the operator whose membership change is committed.
     fn answer_change(&mut self, token: Option<Token>) {
+        self.publish_places();
         let waiting = token.and_then(|token| self.answers.remove(&token));
         let (Some(answer), Stage::Member(replica)) = (waiting, &self.stage) else { return };
         drop(answer.send(Answer::Document(members::list(replica))));
     }
 
+    /// Returns the time on the member's clock.
+    pub(crate) fn now(&self) -> Millis {
+        monotonic_ms()
+    }
+
+    /// Returns the number of the next proposal.
+    pub(crate) fn next_token(&mut self) -> Token {
+        self.token += 1;
+        self.token
+    }
+
     /// Keeps the place for an answer and returns its token and the future answer.
     pub(crate) fn expect_answer(&mut self) -> (Token, ResponseFuture<Answer>) {
-        self.token += 1;
+        self.next_token();
         let (sender, receiver) = oneshot::channel();
         self.answers.insert(self.token, sender);
         let answer = Box::pin(async move {
@@ -216,6 +248,7 @@
             Notice::SteppedDown { term } => {
                 Event::LeaderStepped.emit(&[("member", &member), ("term", &term)]);
                 self.relays.drop_all();
+                self.moves.forget();
             }
             Notice::Following { term, leader } => {
                 Event::LeaderFollowed.emit(&[("leader", &leader), ("term", &term)]);
@@ -226,15 +259,19 @@
     }
 
     pub(crate) fn send(&mut self, to: MemberId, message: Box<Peer>) {
-        let Some(address) = self.member_address(to) else { return };
-        let endpoint = &self.endpoint;
-        let known = self.dialed.get(&to).is_some_and(|(held, _)| *held == address);
-        if !known {
+        if let Some(address) = self.member_address(to) {
+            self.send_to(&address, message);
+        }
+    }
+
+    /// Sends a message to whichever member is at an address.
+    pub(crate) fn send_to(&mut self, address: &str, message: Box<Peer>) {
+        if !self.dialed.contains_key(address) {
             let Ok(parsed) = address.parse::<SocketAddr>() else { return };
-            let sender = dial_member(endpoint.clone(), parsed);
-            self.dialed.insert(to, (address, sender));
+            let sender = dial_member(self.endpoint.clone(), parsed);
+            self.dialed.insert(address.to_owned(), sender);
         }
-        if let Some((_, sender)) = self.dialed.get(&to) {
+        if let Some(sender) = self.dialed.get(address) {
             // A full queue drops the message; the protocol repeats what matters.
             drop(sender.try_send(message));
         }
@@ -284,6 +321,7 @@
             Stage::Forming(_) => self.tick_forming(now),
             Stage::Member(_) => {
                 self.step(Input::Tick);
+                self.tick_placement(now);
                 self.answer_freshness();
                 self.take_snapshot();
             }
@@ -317,8 +355,13 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(EXPIRY_INTERVAL, |actor, _| actor.relays.expire_targets(monotonic_ms()));
-        ctx.run_interval(TICK, |actor, ctx| {
+        ctx.run_interval(EXPIRY_INTERVAL, |actor, _| {
+            actor.relays.expire_targets(monotonic_ms());
+            actor.publish_places();
+            actor.hold_versions();
+        });
+        ctx.run_interval(MOVE_INTERVAL, |actor, _| actor.tick_moves());
+        ctx.run_interval(self.options.election / TICKS, |actor, ctx| {
             let is_member = matches!(actor.stage, Stage::Member(_));
             match (actor.store.take(), is_member) {
                 (Some(store), true) => {
@@ -342,7 +385,7 @@
                     self.join_group(membership);
                 }
             }
-            (Stage::Member(_), Some(peer::Body::Offer(_))) => self.answer_offer(&message),
+            (Stage::Member(_), Some(peer::Body::Offer(_))) => self.take_offer(message),
             (Stage::Member(_), _) if self.writer.is_some() => self.step(Input::Receive(message)),
             _ => {}
         }
@@ -368,6 +411,27 @@
     }
 }
 
+/// Returns this member as others know it.
+fn own_entry(identity: Identity, options: &SourceOptions) -> Voter {
+    Voter {
+        id: identity.id.get(),
+        disk: identity.disk,
+        listen: options.listen.to_string(),
+        http: options.http.to_string(),
+        relay: options.relay.map(|relay| relay.to_string()).unwrap_or_default(),
+        zone: options.zone.to_string(),
+    }
+}
+
+/// Returns who forms the group.
+fn founders(options: &SourceOptions) -> Founders {
+    match (options.id, options.is_first) {
+        (Some(_), _) => Founders::Members(options.members.iter().map(|member| member.id).collect()),
+        (None, true) => Founders::Seeds(options.seeds.iter().map(ToString::to_string).collect()),
+        (None, false) => Founders::Nobody,
+    }
+}
+
 pub(crate) fn new_replica(
     identity: Identity,
     options: &SourceOptions,
--- a/crates/daemon/src/source/answer.rs
+++ b/crates/daemon/src/source/answer.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Answer {
     /// The request was answered.
     Document(serde_json::Value),
+    /// The request was answered with JSON text.
+    Text(String),
     /// A version was accepted.
     Accepted(Version),
     /// The request was refused.
@@ -43,6 +45,7 @@
     pub(crate) fn into_response(self, path: &str) -> HttpResponse {
         match self {
             Self::Document(document) => HttpResponse::Ok().json(document),
+            Self::Text(text) => HttpResponse::Ok().content_type("application/json").body(text),
             Self::Accepted(version) => {
                 HttpResponse::Created().json(json!({ "version": version.get() }))
             }
--- a/crates/daemon/src/source/forming.rs
+++ b/crates/daemon/src/source/forming.rs
@@ -1,14 +1,19 @@
-//! How a member without a group finds or forms one.
+//! How a member without a group finds or forms one, and how a leader takes members in by itself.
 
 use kingcuplift_core::{Event, MemberId};
-use kingcuplift_quorum::{Members, Millis, Restored};
-use kingcuplift_schema::quorum::{Membership, Peer, Snapshot, peer};
+use kingcuplift_quorum::{
+    Event as Input, Members, Millis, Restored, RoleName, offer, offered_voter,
+};
+use kingcuplift_schema::control::{Directory, Place};
+use kingcuplift_schema::quorum::{Membership, Peer, Snapshot, Voter, peer};
 use rand::Rng;
 
 use crate::source::actor::{SourceActor, Stage, new_replica};
 
-/// Time between offers to form a group, in milliseconds.
+/// Time between offers to form or join a group, in milliseconds.
 const OFFER_INTERVAL: Millis = 200;
+/// Time without a leader after which a member asks to be taken in again, in milliseconds.
+const LEADERLESS: Millis = 2_000;
 
 impl SourceActor {
     pub(crate) fn tick_forming(&mut self, now: Millis) {
@@ -26,11 +31,21 @@
         for id in others {
             self.send(id, Box::new(offer.clone()));
         }
+        self.offer_to_seeds(&offer);
         if let Some(membership) = formed {
             self.join_group(membership);
         }
     }
 
+    /// Offers this process to the members whose addresses the settings name.
+    fn offer_to_seeds(&mut self, offer: &Peer) {
+        let own = self.own.listen.clone();
+        let seeds = self.options.seeds.iter().map(ToString::to_string);
+        for address in seeds.filter(|address| *address != own).collect::<Vec<_>>() {
+            self.send_to(&address, Box::new(offer.clone()));
+        }
+    }
+
     /// Writes the membership down and becomes a member.
     pub(crate) fn join_group(&mut self, membership: Membership) {
         let snapshot = Snapshot { membership: Some(membership), ..Snapshot::default() };
@@ -45,14 +60,35 @@
         self.stage = Stage::Member(new_replica(self.identity, &self.options, restored));
     }
 
-    /// Answers a member that has no group, if its disk belongs to this one.
-    pub(crate) fn answer_offer(&mut self, message: &Peer) {
+    /// Takes the offer of a process: a member is told its group, another is kept for the leader to take in.
+    pub(crate) fn take_offer(&mut self, message: Box<Peer>) {
         let Stage::Member(replica) = &self.stage else { return };
+        let Some(peer::Body::Offer(body)) = &message.body else { return };
         let id = MemberId::new(message.from);
-        let membership = replica.membership();
-        if membership.member(id).is_none_or(|voter| voter.disk != message.disk) {
+        let is_member =
+            replica.membership().member(id).is_some_and(|voter| voter.disk == message.disk);
+        if is_member {
+            return self.answer_offer(id);
+        }
+        if self.options.id.is_some() {
             return;
         }
+        match replica.role() {
+            RoleName::Leader => {
+                self.placement.offer(offered_voter(&message, body), self.now());
+            }
+            _ => {
+                if let Some(leader) = replica.leader() {
+                    self.send(leader, message);
+                }
+            }
+        }
+    }
+
+    /// Tells a member that has no group yet of this one.
+    fn answer_offer(&mut self, id: MemberId) {
+        let Stage::Member(replica) = &self.stage else { return };
+        let membership = replica.membership();
         let formed = Peer {
             from: self.identity.id.get(),
             disk: self.identity.disk,
@@ -62,4 +98,58 @@
         };
         self.send(id, Box::new(formed));
     }
+
+    /// As leader, changes the membership where that is due; without a leader for long, asks to be taken in.
+    pub(crate) fn tick_placement(&mut self, now: Millis) {
+        if self.options.id.is_some() || now < self.offered_at + OFFER_INTERVAL {
+            return;
+        }
+        self.offered_at = now;
+        let Stage::Member(replica) = &self.stage else { return };
+        match replica.role() {
+            RoleName::Leader => {
+                if let Some(membership) = self.placement.next(replica, now) {
+                    self.place(membership);
+                }
+            }
+            _ if now > replica.heard_leader() + LEADERLESS => {
+                let members = replica.membership().voters.iter().chain(&replica.membership().learners);
+                let others = members.filter(|voter| voter.listen != self.own.listen);
+                let addresses: Vec<String> = others.map(|voter| voter.listen.clone()).collect();
+                let message = offer(&self.own, false);
+                self.offer_to_seeds(&message);
+                for address in addresses {
+                    self.send_to(&address, Box::new(message.clone()));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn place(&mut self, membership: Membership) {
+        let names = |voters: &[Voter]| {
+            voters.iter().map(|voter| voter.listen.as_str()).collect::<Vec<_>>().join(",")
+        };
+        let (voters, learners) = (names(&membership.voters), names(&membership.learners));
+        Event::MembersPlaced.emit(&[("voters", &voters), ("learners", &learners)]);
+        let token = self.next_token();
+        self.step(Input::ChangeMembers { token, membership });
+    }
+
+    /// As leader, tells the relays of all members.
+    pub(crate) fn publish_places(&mut self) {
+        let Stage::Member(replica) = &self.stage else { return };
+        if replica.role() != RoleName::Leader {
+            return;
+        }
+        let membership = replica.membership();
+        let members = membership.voters.iter().chain(&membership.learners);
+        let places = members.map(|voter| Place {
+            source: voter.listen.clone(),
+            relay: voter.relay.clone(),
+            zone: voter.zone.clone(),
+        });
+        let directory = Directory { places: places.collect() };
+        self.relays.fanout.set_directory(directory);
+    }
 }
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -6,6 +6,7 @@
 
 use actix::Addr;
 use actix_web::dev::Server;
+use actix_web::http::header::IF_MATCH;
 use actix_web::{HttpRequest, HttpResponse, web};
 use kingcuplift_config::{MAX_PATCH, Submission};
 use kingcuplift_core::{ByteSize, MemberId, OperationId, ResultCode, Version, ZoneName};
@@ -20,7 +21,8 @@
 use crate::source::SourceActor;
 use crate::source::answer::Answer;
 use crate::source::members::MemberChange;
-use crate::source::messages::{Ask, AskBackup, AskHealth, AskMembers, Change, Submit};
+use crate::source::messages::{Ask, AskBackup, AskHealth, AskMembers, Change, Revise, Submit};
+use crate::source::moves::StartMove;
 use crate::source::query::{DEFAULT_LIMIT, Question};
 
 /// Longest time that a submission waits for its outcome.
@@ -62,7 +64,7 @@
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
     let limit = (MAX_PATCH.get() + ENVELOPE.get()) as usize;
-    serve_control(address, move |app| {
+    serve_control(&[address], move |app| {
         app.app_data(web::Data::clone(&actor))
             .app_data(web::PayloadConfig::new(limit))
             .route("/v1/versions", web::post().to(submit))
@@ -70,7 +72,10 @@
             .route("/v1/versions/{version}", web::get().to(show_version))
             .route("/v1/versions/{version}/config", web::get().to(show_config))
             .route("/v1/config", web::get().to(head_config))
+            .route("/v1/revision", web::put().to(revise))
+            .route("/v1/revision", web::get().to(show_revision))
             .route("/v1/moves", web::get().to(list_moves))
+            .route("/v1/moves", web::post().to(start_move))
             .route("/v1/moves/{name}", web::get().to(show_move))
             .route("/v1/zones/{zone}/{state}", web::post().to(set_zone))
             .route("/v1/targets", web::get().to(list_targets))
@@ -173,6 +178,63 @@
     ask(&request, &source, Question::Config(None)).await
 }
 
+/// Replaces the whole configuration that `If-Match` names by its number.
+async fn revise(request: HttpRequest, body: web::Bytes, source: Source) -> HttpResponse {
+    let after = header(&request, IF_MATCH.as_str()).unwrap_or_else(|| "0".to_owned());
+    let Ok(after) = after.parse::<u64>() else {
+        let detail = "If-Match: name the number of the configuration that is replaced";
+        return respond(&request, Answer::problem(ResultCode::PatchBadValue, detail));
+    };
+    let sent = source.send(Revise { after, text: body });
+    let answer = match tokio::time::timeout(COMMIT_LIMIT, sent).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) | Err(_) => {
+            let detail = "no majority has stored it yet; send the same configuration again";
+            Answer::problem(ResultCode::LeadershipLost, detail)
+        }
+    };
+    respond(&request, answer)
+}
+
+async fn show_revision(request: HttpRequest, source: Source) -> HttpResponse {
+    ask(&request, &source, Question::Revision).await
+}
+
+/// Body of an order to move a service's traffic.
+#[derive(Debug, Deserialize)]
+struct MoveBody {
+    service: String,
+    to: String,
+    /// Time for the whole move, in seconds.
+    within_s: f64,
+}
+
+async fn start_move(request: HttpRequest, body: web::Bytes, source: Source) -> HttpResponse {
+    let answer = match read_move(&request, &body) {
+        Ok(order) => match tokio::time::timeout(COMMIT_LIMIT, source.send(order)).await {
+            Ok(answer) => answer.unwrap_or_else(|_| stopping()),
+            Err(_) => {
+                let detail = "no majority has stored the move yet; send the same order again";
+                Answer::problem(ResultCode::LeadershipLost, detail)
+            }
+        },
+        Err(answer) => answer,
+    };
+    respond(&request, answer)
+}
+
+fn read_move(request: &HttpRequest, body: &[u8]) -> Result<StartMove, Answer> {
+    let malformed = |detail: String| Answer::problem(ResultCode::PatchMalformed, detail);
+    let body: MoveBody = serde_json::from_slice(body).map_err(|error| malformed(error.to_string()))?;
+    let within = Duration::try_from_secs_f64(body.within_s);
+    Ok(StartMove {
+        service: body.service.parse().map_err(|error| malformed(format!("service: {error}")))?,
+        to: body.to.parse().map_err(|error| malformed(format!("to: {error}")))?,
+        within: within.map_err(|error| malformed(format!("within_s: {error}")))?,
+        operation: operation_id(request)?,
+    })
+}
+
 async fn list_moves(request: HttpRequest, source: Source) -> HttpResponse {
     ask(&request, &source, Question::Moves).await
 }
@@ -247,7 +309,7 @@
         return respond(&request, Answer::problem(ResultCode::PatchMalformed, detail));
     };
     let (listen, http) = (body.listen.to_string(), body.http.to_string());
-    let voter = Voter { id: body.id, disk, listen, http };
+    let voter = Voter { id: body.id, disk, listen, http, ..Voter::default() };
     change_members(&request, &source, MemberChange::Add(voter)).await
 }
 
--- a/crates/daemon/src/source/links.rs
+++ b/crates/daemon/src/source/links.rs
@@ -28,11 +28,13 @@
 pub(crate) struct FromPeer(pub(crate) Box<Peer>);
 
 /// Starts the sender to one member and returns its queue.
+///
+/// A link is opened when there is something to send.
 pub(crate) fn dial_member(endpoint: Endpoint, address: SocketAddr) -> mpsc::Sender<Box<Peer>> {
     let (sender, mut queue) = mpsc::channel(QUEUE);
     actix::spawn(async move {
-        loop {
-            match send_to_member(&endpoint, address, &mut queue).await {
+        while let Some(first) = queue.recv().await {
+            match send_to_member(&endpoint, address, first, &mut queue).await {
                 Ok(()) => return,
                 Err(error) => log::debug!("link to member at {address}: {error}"),
             }
@@ -46,20 +48,22 @@
 async fn send_to_member(
     endpoint: &Endpoint,
     address: SocketAddr,
+    first: Box<Peer>,
     queue: &mut mpsc::Receiver<Box<Peer>>,
 ) -> Result<(), LinkError> {
     let connecting = endpoint.connect(address, Role::Source, Protocol::Peer);
-    let connection = tokio::time::timeout(CONNECT_LIMIT, connecting)
+    let mut link = tokio::time::timeout(CONNECT_LIMIT, connecting)
         .await
         .map_err(|_elapsed| LinkError::Connection(quinn::ConnectionError::TimedOut))??;
-    let mut writer: Writer<Peer> = Writer::new(connection.open_uni().await?);
+    let mut writer: Writer<Peer> = Writer::new(link.open_sending().await?);
+    writer.send(&first).await?;
     loop {
         tokio::select! {
             message = queue.recv() => match message {
                 Some(message) => writer.send(&message).await?,
                 None => return Ok(()),
             },
-            reason = connection.closed() => return Err(reason.into()),
+            reason = link.closed() => return Err(reason),
         }
     }
 }
@@ -82,12 +86,12 @@
     }
 }
 
-async fn read_member(accepted: Accepted, actor: Addr<SourceActor>) {
+async fn read_member(mut accepted: Accepted, actor: Addr<SourceActor>) {
     if !accepted.grant.roles.contains(&Role::Source) {
         Event::LinkRefused.emit(&[("peer", &accepted.grant.name), ("wanted", &Role::Source)]);
         return;
     }
-    let Ok(stream) = accepted.connection.accept_uni().await else { return };
+    let Ok(stream) = accepted.link.accept_receiving().await else { return };
     let mut reader: Reader<Peer> = Reader::new(stream);
     while let Ok(message) = reader.receive().await {
         if actor.send(FromPeer(Box::new(message))).await.is_err() {
--- a/crates/daemon/src/source/messages.rs
+++ b/crates/daemon/src/source/messages.rs
@@ -1,6 +1,7 @@
 //! Messages to the actor of the source role.
 
 use actix::Message;
+use bytes::Bytes;
 use kingcuplift_config::Submission;
 
 use crate::source::answer::Answer;
@@ -12,6 +13,16 @@
 #[rtype(result = "Answer")]
 pub(crate) struct Submit(pub(crate) Submission);
 
+/// Asks for a whole configuration to replace the one in force.
+#[derive(Debug, Message)]
+#[rtype(result = "Answer")]
+pub(crate) struct Revise {
+    /// Operator's number of the configuration that is replaced.
+    pub(crate) after: u64,
+    /// Whole configuration, in JSON.
+    pub(crate) text: Bytes,
+}
+
 /// Asks a question; only a leader that is proved to be current answers.
 #[derive(Debug, Message)]
 #[rtype(result = "Answer")]
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -1,7 +1,7 @@
 //! Answers operators.
 
 use actix::{Handler, ResponseFuture};
-use kingcuplift_config::{Outcome, Patch};
+use kingcuplift_config::{Outcome, Patch, RevisionBody, Submission};
 use kingcuplift_core::{MemberId, ResultCode};
 use kingcuplift_quorum::{Event as Input, RoleName};
 use kingcuplift_schema::Message as _;
@@ -11,7 +11,7 @@
 use crate::source::answer::Answer;
 use crate::source::members;
 use crate::source::messages::{
-    Ask, AskBackup, AskHealth, AskMembers, Change, HandOver, MemberHealth, Submit,
+    Ask, AskBackup, AskHealth, AskMembers, Change, HandOver, MemberHealth, Revise, Submit,
 };
 use crate::source::query::View;
 
@@ -38,6 +38,44 @@
     }
 }
 
+impl Handler<Revise> for SourceActor {
+    type Result = ResponseFuture<Answer>;
+
+    fn handle(&mut self, message: Revise, _: &mut Self::Context) -> Self::Result {
+        if let Some(answer) = self.not_leading() {
+            return Box::pin(async move { answer });
+        }
+        let submission = match self.check_revision(&message) {
+            Ok(submission) => submission,
+            Err(outcome) => return Box::pin(async move { Answer::outcome(outcome) }),
+        };
+        let (token, answer) = self.expect_answer();
+        let command = submission.encode_to_vec();
+        self.step(Input::Propose { token, command });
+        answer
+    }
+}
+
+impl SourceActor {
+    /// Makes the submission of a whole configuration, or returns what is known to become of it.
+    fn check_revision(&self, message: &Revise) -> Result<Submission, Outcome> {
+        let body = RevisionBody::parse(&message.text).map_err(Outcome::refused)?;
+        let held = self.catalog.revision();
+        let document = self.catalog.feed().document();
+        let mut submission = body.submission(message.after, &message.text, held, document);
+        submission.at_ms = wall_ms();
+        if let Some(outcome) = self.catalog.remembered(&submission) {
+            return Err(outcome);
+        }
+        if message.after == held.number {
+            let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
+            patch.stage(document, self.catalog.head().next()).map_err(Outcome::refused)?;
+        }
+        self.catalog.check_revision(&submission)?;
+        Ok(submission)
+    }
+}
+
 impl Handler<Change> for SourceActor {
     type Result = ResponseFuture<Answer>;
 
--- a/crates/daemon/src/source/query.rs
+++ b/crates/daemon/src/source/query.rs
@@ -32,6 +32,8 @@
     Move(String),
     /// Announced targets.
     Targets,
+    /// The whole configuration in force, as operators write it.
+    Revision,
 }
 
 /// State that questions are answered from.
@@ -52,6 +54,15 @@
             Question::Moves => self.moves(),
             Question::Move(name) => self.one_move(name),
             Question::Targets => self.targets(),
+            Question::Revision => self.revision(),
+        }
+    }
+
+    fn revision(&self) -> Answer {
+        let revision = self.catalog.revision();
+        match revision.number {
+            0 => Answer::problem(ResultCode::ResourceNotFound, "no whole configuration is in force"),
+            _ => Answer::Text(revision.to_json(self.catalog.feed().document())),
         }
     }
 
@@ -103,12 +114,12 @@
         Some(json!({
             "name": name,
             "service": spec.service.as_str(),
-            "from": spec.from.as_str(),
+            "from": spec.from.as_ref().map(|from| from.as_str()),
             "to": spec.to.as_str(),
             "share": spec.share.percent(),
-            "deadline": spec.deadline.to_string(),
-            "state": "waiting",
-            "share_now": 0,
+            "deadline": spec.deadline.map(|deadline| deadline.to_string()),
+            "state": spec.state.as_str(),
+            "share_now": f64::from(spec.moved) / 10.0,
             "steps": [],
         }))
     }
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -140,7 +140,8 @@
                 self.answer_freshness();
             }
             upward::Body::Resync(_) => self.relays.fanout.resync(session),
-            upward::Body::Hello(_) | upward::Body::Applied(_) => {}
+            upward::Body::Evidence(evidence) => self.moves.learn(&evidence),
+            upward::Body::Hello(_) | upward::Body::Applied(_) | upward::Body::Suspect(_) => {}
         }
     }
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
+
 use actix::{Message, Recipient};
 use kingcuplift_core::Event;
 use kingcuplift_keys::{Protocol, Role};
@@ -20,6 +22,8 @@
 const MAX_DELAY: u64 = 3_000;
 /// Longest time for one connection attempt.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// Range of the first attempt's place in the list of addresses.
+const MAX_FIRST: usize = 64;
 /// Messages that wait to be sent.
 const QUEUE: usize = 256;
 
@@ -35,12 +39,44 @@
     Closed,
 }
 
+/// Addresses that can be replaced while links are made; never empty.
+#[derive(Debug, Clone)]
+pub(crate) struct Addresses {
+    settled: Arc<Vec<SocketAddr>>,
+    known: Arc<ArcSwap<Vec<SocketAddr>>>,
+}
+
+impl Addresses {
+    /// Makes a list of the addresses in the settings.
+    pub(crate) fn new(settled: Vec<SocketAddr>) -> Self {
+        let known = Arc::new(ArcSwap::from_pointee(settled.clone()));
+        Self { settled: Arc::new(settled), known }
+    }
+
+    /// Puts learnt addresses, the best first, before those in the settings.
+    pub(crate) fn learn(&self, learnt: Vec<SocketAddr>) {
+        let mut known = learnt;
+        for address in self.settled.iter() {
+            if !known.contains(address) {
+                known.push(*address);
+            }
+        }
+        self.known.store(Arc::new(known));
+    }
+
+    /// Returns the address for one attempt.
+    fn pick(&self, attempt: usize) -> SocketAddr {
+        let known = self.known.load();
+        known[attempt % known.len()]
+    }
+}
+
 /// Addresses of the processes that can serve as upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct Upstream {
     pub(crate) endpoint: Endpoint,
     pub(crate) role: Role,
-    pub(crate) addresses: Vec<SocketAddr>,
+    pub(crate) addresses: Addresses,
     pub(crate) meter: Arc<LinkMeter>,
 }
 
@@ -76,10 +112,11 @@
     /// Connects again and again, telling `actor` of all that happens, until the actor is gone.
     pub(crate) async fn run(self, actor: Recipient<FromAbove>) {
         let mut failures = 0;
-        let mut index = 0;
+        // Processes that start together don't all begin with the same address.
+        let mut index = rand::rng().random_range(0..MAX_FIRST);
         let mut hinted: Option<SocketAddr> = None;
         while actor.connected() {
-            let address = hinted.take().unwrap_or(self.addresses[index % self.addresses.len()]);
+            let address = hinted.take().unwrap_or_else(|| self.addresses.pick(index));
             match self.serve(address, &actor).await {
                 Ok(Some(redirect)) => {
                     hinted = redirect.address.parse().ok();
@@ -108,11 +145,11 @@
         actor: &Recipient<FromAbove>,
     ) -> Result<Option<Redirect>, LinkError> {
         let connecting = self.endpoint.connect(address, self.role, Protocol::Distribution);
-        let connection = tokio::time::timeout(CONNECT_LIMIT, connecting)
+        let mut link = tokio::time::timeout(CONNECT_LIMIT, connecting)
             .await
             .map_err(|_elapsed| LinkError::Connection(quinn::ConnectionError::TimedOut))??;
-        self.meter.follow(Some(connection.clone()));
-        let (send, receive) = connection.open_bi().await?;
+        self.meter.follow(link.quic().cloned());
+        let (send, receive) = link.open_both().await?;
         let (sender, queue) = mpsc::channel(QUEUE);
         actor.do_send(FromAbove::Opened(sender));
         let mut reader: Reader<Downward> = Reader::new(receive);
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod log;
 mod membership;
+mod placement;
 mod replica;
 mod replication;
 mod store;
@@ -17,8 +18,9 @@
 
 pub use effect::{Effect, Event, Millis, Notice, Refusal, Ticket, Token};
 pub use folder::{DiskFolder, Folder};
-pub use formation::Formation;
+pub use formation::{Formation, Founders, offer, offered_voter};
 pub use log::Log;
 pub use membership::{Members, MembershipError};
+pub use placement::Placement;
 pub use replica::{Identity, Replica, Restored, RoleName, Timing};
 pub use store::{Record, Recovery, Store, StoreError};
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -68,6 +68,8 @@
     pub(crate) matched: u64,
     /// When the newest answered request was sent, on the leader's clock.
     pub(crate) acked_ms: Millis,
+    /// When replication to the member began, on the leader's clock.
+    pub(crate) since_ms: Millis,
     /// When a snapshot was last sent, while no answer has come.
     pub(crate) snapshot_ms: Option<Millis>,
 }
@@ -237,6 +239,30 @@
         }
     }
 
+    /// Returns when each other member was last known to be there; empty unless the member leads.
+    ///
+    /// A new leader counts from the time at which it began to lead.
+    pub fn contacts(&self) -> BTreeMap<MemberId, Millis> {
+        match &self.role {
+            Role::Leader(lead) => {
+                let seen = |p: &Progress| p.acked_ms.max(lead.since).max(p.since_ms);
+                lead.progress.iter().map(|(id, p)| (*id, seen(p))).collect()
+            }
+            _ => BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether a change of the membership is not committed yet, or none can be made at present.
+    pub fn has_change_in_flight(&self) -> bool {
+        self.commit < self.log.membership_index()
+            || self.log.term_at(self.commit) != Some(self.hard.term)
+    }
+
+    /// Returns when the member last heard of a leader.
+    pub fn heard_leader(&self) -> Millis {
+        self.contact_at
+    }
+
     /// Returns whether the applied state is the latest that any member has acknowledged.
     ///
     /// That holds while the member leads, has committed an entry of its own term, and a majority has
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -249,9 +249,7 @@
     }
 
     pub(crate) fn change_members(&mut self, token: Token, membership: Membership) {
-        let settled = self.commit >= self.log.membership_index()
-            && self.log.term_at(self.commit) == Some(self.hard.term);
-        let permitted = settled && self.check_members(&membership).is_ok();
+        let permitted = !self.has_change_in_flight() && self.check_members(&membership).is_ok();
         match (&self.role, permitted) {
             (Role::Leader(_), true) => {
                 self.propose(token, entry::Body::Membership(membership));
@@ -286,14 +284,14 @@
     /// Starts and ends replication to follow the membership.
     fn track_members(&mut self) {
         let next = self.log.last_index() + 1;
-        let own = self.identity.id;
+        let (own, now) = (self.identity.id, self.now);
         let members = self.log.membership().clone();
         let Role::Leader(lead) = &mut self.role else { return };
         lead.progress.retain(|id, _| members.member(*id).is_some());
         for voter in members.voters.iter().chain(&members.learners) {
             let id = MemberId::new(voter.id);
             if id != own {
-                let fresh = Progress { next, ..Progress::default() };
+                let fresh = Progress { next, since_ms: now, ..Progress::default() };
                 lead.progress.entry(id).or_insert(fresh);
             }
         }
--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -97,6 +97,15 @@
     pub truncated: u64,
 }
 
+/// Member that a folder may belong to.
+#[derive(Debug, Clone, Copy)]
+enum Owner {
+    /// This member only.
+    Only(MemberId),
+    /// Any member; an empty folder goes to this one.
+    Any(MemberId),
+}
+
 /// A segment of the log.
 #[derive(Debug)]
 struct Segment {
@@ -119,6 +128,21 @@
 impl<F: Folder> Store<F> {
     /// Opens the durable state of member `id`; an empty folder gets `fresh_disk` as its identity.
     pub fn open(folder: F, id: MemberId, fresh_disk: u64) -> Result<(Self, Recovery), StoreError> {
+        Self::open_as(folder, Owner::Only(id), fresh_disk)
+    }
+
+    /// Opens the durable state of whichever member the folder belongs to.
+    ///
+    /// An empty folder gets `fresh` as its member and `fresh_disk` as its identity.
+    pub fn open_any(
+        folder: F,
+        fresh: MemberId,
+        fresh_disk: u64,
+    ) -> Result<(Self, Recovery), StoreError> {
+        Self::open_as(folder, Owner::Any(fresh), fresh_disk)
+    }
+
+    fn open_as(folder: F, owner: Owner, fresh_disk: u64) -> Result<(Self, Recovery), StoreError> {
         let mut store = Self {
             folder,
             segments: Vec::new(),
@@ -127,7 +151,7 @@
             hard: HardState::default(),
             snapshot: 0,
         };
-        let identity = store.open_identity(id, fresh_disk)?;
+        let identity = store.open_identity(owner, fresh_disk)?;
         let snapshot = store.read_snapshot()?;
         let (entries, truncated) = store.read_segments(&snapshot)?;
         let hard = store.hard;
@@ -236,15 +260,17 @@
         self.folder.read(name).map_err(|e| io_error(name, e))
     }
 
-    fn open_identity(&mut self, id: MemberId, fresh: u64) -> Result<Identity, StoreError> {
+    fn open_identity(&mut self, owner: Owner, fresh: u64) -> Result<Identity, StoreError> {
         let names = self.list()?;
         if names.iter().any(|name| name == IDENTITY) {
             let bytes = self.read(IDENTITY)?;
             let held = read_whole::<DiskIdentity>(IDENTITY, &bytes)?;
             let member = MemberId::new(held.member);
-            return match member == id {
-                true => Ok(Identity { id, disk: held.disk }),
-                false => Err(StoreError::Foreign { held: member, wanted: id }),
+            return match owner {
+                Owner::Only(wanted) if wanted != member => {
+                    Err(StoreError::Foreign { held: member, wanted })
+                }
+                Owner::Only(_) | Owner::Any(_) => Ok(Identity { id: member, disk: held.disk }),
             };
         }
         let orphan = names
@@ -253,6 +279,7 @@
         if orphan.is_some() {
             return Err(StoreError::Damaged { file: IDENTITY.to_owned(), offset: 0 });
         }
+        let (Owner::Only(id) | Owner::Any(id)) = owner;
         let identity = DiskIdentity { member: id.get(), disk: fresh };
         let (bytes, _) = frame::encode(0, &identity.encode_to_vec());
         self.write_file(IDENTITY, &bytes)?;
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -4,7 +4,7 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_quorum::{
-    Effect, Event, Formation, Identity, Members, Millis, Record, Recovery, Replica, Restored,
+    Effect, Event, Formation, Founders, Identity, Members, Millis, Record, Recovery, Replica, Restored,
     RoleName, Store, Timing, Token,
 };
 use kingcuplift_schema::quorum::{Entry, Membership, Peer, Snapshot, Voter, entry, peer};
@@ -223,7 +223,14 @@
         let identity = recovery.identity;
         if recovery.restored.snapshot.membership.is_none() {
             let address = format!("address-{id}");
-            member.stage = Stage::Forming(Formation::new(identity, &address, &address, initial));
+            let own = Voter {
+                id: id.get(),
+                disk: identity.disk,
+                listen: address.clone(),
+                http: address,
+                ..Voter::default()
+            };
+            member.stage = Stage::Forming(Formation::new(own, Founders::Members(initial)));
             return;
         }
         member.applied = decode_state(&recovery.restored.snapshot.state);
@@ -413,7 +420,13 @@
             Stage::Down => 0,
         };
         let address = format!("address-{number}");
-        Voter { id: number.get(), disk, listen: address.clone(), http: address }
+        Voter {
+            id: number.get(),
+            disk,
+            listen: address.clone(),
+            http: address,
+            ..Voter::default()
+        }
     }
 
     /// Takes a snapshot of what a member has applied.
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -1,11 +1,19 @@
-//! Admission of calls to one target: slots, a queue by rank, and deadlines.
+//! Admission of calls to one target: slots, a queue by rank, deadlines, and the rate that a cold target bears.
+//!
+//! Within a rank, calls that can still be answered with their full value go before those that can't.
 
 use std::collections::{BTreeMap, HashMap};
 
-use kingcuplift_core::{Rank, ResultCode};
+use kingcuplift_core::{PerSecond, Rank, ResultCode};
 
 /// Releases after which the call that has waited longest goes first, whatever its rank.
 const FAIRNESS_INTERVAL: u64 = 16;
+/// Part of the slots that counts for a cold target whose service time is unknown: one in this many.
+const COLD_DIVISOR: u32 = 4;
+/// Calls to a cold target that may run at once after a pause.
+const PACE_RESERVE: u64 = 2;
+/// Microseconds in a second.
+const SECOND_US: f64 = 1_000_000.0;
 /// Weight of the newest service time in the average: one eighth.
 const AVERAGE_DIVISOR: u64 = 8;
 
@@ -44,13 +52,53 @@
     Expired(CallId),
 }
 
-/// Place in the queue: rank first, then order of arrival.
-type Place = (Rank, u64);
+/// When a call's answer is worth what, in microseconds on the clock of the admission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTimes {
+    /// Time up to which an answer has its full value.
+    pub objective_us: u64,
+    /// Time up to which an answer has any value.
+    pub deadline_us: u64,
+}
+
+impl CallTimes {
+    /// Makes times without an objective of their own.
+    pub fn until(deadline_us: u64) -> Self {
+        Self { objective_us: deadline_us, deadline_us }
+    }
+}
+
+/// Place in the queue: rank first, then whether the full value is lost, then order of arrival.
+type Place = (Rank, bool, u64);
 
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     id: CallId,
-    deadline_us: u64,
+    times: CallTimes,
+}
+
+/// Limit on the calls to a cold target: evenly spaced, with a small reserve after a pause.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    interval_us: u64,
+    /// Time at which the next call may run.
+    next_us: u64,
+    until_us: u64,
+}
+
+impl Pace {
+    fn is_over(&self, now_us: u64) -> bool {
+        now_us >= self.until_us
+    }
+
+    fn is_due(&self, now_us: u64) -> bool {
+        self.is_over(now_us) || now_us >= self.next_us
+    }
+
+    fn take(&mut self, now_us: u64) {
+        let reserve = self.interval_us * PACE_RESERVE;
+        self.next_us = self.next_us.max(now_us.saturating_sub(reserve)) + self.interval_us;
+    }
 }
 
 /// Admission state of one target. Times are in microseconds on one monotonic clock.
@@ -64,6 +112,7 @@
     releases: u64,
     service_us: u64,
     is_open: bool,
+    pace: Option<Pace>,
 }
 
 impl Admission {
@@ -78,6 +127,44 @@
             releases: 0,
             service_us: 0,
             is_open: true,
+            pace: None,
+        }
+    }
+
+    /// Limits the rate of calls until `until_us`, because the target is cold.
+    pub fn set_pace(&mut self, rate: PerSecond, until_us: u64, now_us: u64) {
+        let interval_us = (SECOND_US / rate.get().max(f64::MIN_POSITIVE)).min(SECOND_US) as u64;
+        let next_us = self.pace.map_or(now_us, |pace| pace.next_us);
+        self.pace = Some(Pace { interval_us, next_us, until_us });
+    }
+
+    /// Ends the limit on the rate of calls.
+    pub fn clear_pace(&mut self) {
+        self.pace = None;
+    }
+
+    /// Returns whether the rate of calls is limited.
+    pub fn is_paced(&self, now_us: u64) -> bool {
+        self.pace.is_some_and(|pace| !pace.is_over(now_us))
+    }
+
+    /// Returns when the rate next lets a waiting call run, if calls wait for that alone.
+    pub fn next_release(&self, now_us: u64) -> Option<u64> {
+        let waits = !self.waiting.is_empty() && self.running < self.limits.slots;
+        let pace = self.pace.filter(|pace| waits && !pace.is_due(now_us))?;
+        Some(pace.next_us.min(pace.until_us))
+    }
+
+    /// Returns the calls that may run at a time, as far as the rate allows.
+    pub fn effective_slots(&self, now_us: u64) -> u32 {
+        let slots = self.limits.slots;
+        match self.pace.filter(|pace| !pace.is_over(now_us)) {
+            Some(pace) if self.service_us > 0 => {
+                let bearable = (self.service_us / pace.interval_us.max(1)) as u32;
+                bearable.clamp(1, slots.max(1))
+            }
+            Some(_) => (slots / COLD_DIVISOR).max(1),
+            None => slots,
         }
     }
 
@@ -111,16 +198,30 @@
         self.running == 0 && self.waiting.is_empty()
     }
 
-    /// Decides on an arriving call.
+    /// Decides on an arriving call without an objective of its own.
     pub fn arrive(&mut self, id: CallId, rank: Rank, deadline_us: u64, now_us: u64) -> Decision {
+        self.arrive_by(id, rank, CallTimes::until(deadline_us), now_us)
+    }
+
+    /// Decides on an arriving call.
+    pub fn arrive_by(
+        &mut self,
+        id: CallId,
+        rank: Rank,
+        times: CallTimes,
+        now_us: u64,
+    ) -> Decision {
+        let is_due = self.pace.is_none_or(|pace| pace.is_due(now_us));
         match () {
             () if !self.is_open => return Decision::Refuse(ResultCode::Draining),
-            () if now_us >= deadline_us => return Decision::Refuse(ResultCode::DeadlineBefore),
-            () if self.running < self.limits.slots && self.waiting.is_empty() => {
-                self.running += 1;
+            () if now_us >= times.deadline_us => {
+                return Decision::Refuse(ResultCode::DeadlineBefore);
+            }
+            () if self.running < self.limits.slots && self.waiting.is_empty() && is_due => {
+                self.begin(now_us);
                 return Decision::Run;
             }
-            () if now_us + self.expected_wait(rank) >= deadline_us => {
+            () if now_us + self.expected_wait(rank, now_us) >= times.deadline_us => {
                 return Decision::Refuse(ResultCode::DeadlineBefore);
             }
             () => {}
@@ -136,12 +237,20 @@
             self.places.remove(&id);
         }
         self.arrivals += 1;
-        let place = (rank, self.arrivals);
-        self.waiting.insert(place, Waiting { id, deadline_us });
+        let place = (rank, false, self.arrivals);
+        self.waiting.insert(place, Waiting { id, times });
         self.places.insert(id, place);
         Decision::Wait { displaced: displaced.map(|(_, id)| id) }
     }
 
+    /// Counts a call that begins to run.
+    fn begin(&mut self, now_us: u64) {
+        self.running += 1;
+        if let Some(pace) = self.pace.as_mut().filter(|pace| !pace.is_over(now_us)) {
+            pace.take(now_us);
+        }
+    }
+
     /// Records that a running call has ended and returns what becomes of waiting calls.
     pub fn finish(&mut self, service_us: u64, now_us: u64) -> Vec<Release> {
         self.running = self.running.saturating_sub(1);
@@ -155,17 +264,29 @@
     /// Gives free slots to waiting calls and drops those that are too late.
     pub fn release(&mut self, now_us: u64) -> Vec<Release> {
         let mut released = Vec::new();
-        while self.running < self.limits.slots {
+        while self.running < self.limits.slots
+            && self.pace.is_none_or(|pace| pace.is_due(now_us))
+        {
             let Some(place) = self.next_place() else { break };
             let Some(call) = self.waiting.remove(&place) else { break };
             self.places.remove(&call.id);
-            if now_us + self.service_us >= call.deadline_us {
-                released.push(Release::Expired(call.id));
-                continue;
+            let answered_us = now_us + self.service_us;
+            let (rank, is_late, arrival) = place;
+            match () {
+                () if answered_us >= call.times.deadline_us => {
+                    released.push(Release::Expired(call.id));
+                }
+                () if !is_late && answered_us >= call.times.objective_us => {
+                    let place = (rank, true, arrival);
+                    self.waiting.insert(place, call);
+                    self.places.insert(call.id, place);
+                }
+                () => {
+                    self.begin(now_us);
+                    self.releases += 1;
+                    released.push(Release::Run(call.id));
+                }
             }
-            self.running += 1;
-            self.releases += 1;
-            released.push(Release::Run(call.id));
         }
         released
     }
@@ -183,15 +304,19 @@
         let first = self.waiting.first_key_value().map(|(place, _)| *place);
         match self.releases % FAIRNESS_INTERVAL {
             rest if rest == FAIRNESS_INTERVAL - 1 => {
-                self.waiting.keys().copied().min_by_key(|(_, arrival)| *arrival)
+                self.waiting.keys().copied().min_by_key(|(_, _, arrival)| *arrival)
             }
             _ => first,
         }
     }
 
-    /// Estimates how long a call of `rank` waits before it runs.
-    fn expected_wait(&self, rank: Rank) -> u64 {
-        let ahead = self.waiting.range(..=(rank, u64::MAX)).count() as u64 + 1;
-        ahead * self.service_us / u64::from(self.limits.slots.max(1))
+    /// Estimates how long a call of `rank` waits before it runs, in microseconds.
+    pub fn expected_wait(&self, rank: Rank, now_us: u64) -> u64 {
+        let ahead = self.waiting.range(..=(rank, true, u64::MAX)).count() as u64 + 1;
+        let by_slots = ahead * self.service_us / u64::from(self.limits.slots.max(1));
+        match self.pace.filter(|pace| !pace.is_over(now_us)) {
+            Some(pace) => by_slots.max(ahead * pace.interval_us),
+            None => by_slots,
+        }
     }
 }
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -1,18 +1,50 @@
-//! Chooses a target: the less loaded of two drawn at random, in the own availability zone first.
+//! Chooses a target: the one at which a call is expected to cost least.
+//!
+//! The cost counts in service times: waiting for a slot, slowness and failures as seen in answers, and the way to
+//! another availability zone. What a target's node said of its load counts for a short time; calls sent since
+//! are added to it.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use kingcuplift_core::ZoneName;
 use rand::Rng;
+use smol_str::SmolStr;
 
 use crate::table::TargetKey;
 
-/// Load above which targets of other availability zones are considered, in per cent of the slots.
-const SPILL_LOAD: u64 = 80;
+/// Cost of a call to another availability zone.
+const ZONE_COST: f64 = 0.5;
+/// Cost of a target at which every call fails.
+const FAILURE_COST: f64 = 8.0;
+/// Part of the slots in use up to which load costs little.
+const FREE_LOAD: f64 = 0.7;
+/// Cost of a target whose last slot is in use.
+const FULL_COST: f64 = 0.4;
+/// Cost of load by itself, when all slots are in use.
+const LOAD_COST: f64 = 0.2;
+/// Largest random part of the cost; it keeps nodes from choosing alike.
+const NOISE: f64 = 0.1;
+/// Time for which a reported load counts, in milliseconds.
+const REPORT_LIFE: u64 = 1_000;
+/// Weight of the newest answer in the part of failures and in the slowness.
+const ANSWER_WEIGHT: f32 = 0.1;
+/// Time in which the part of failures halves without answers, in milliseconds.
+const FORGIVENESS: u64 = 3_000;
+/// Least and most slowness that counts.
+const SLOWNESS_RANGE: (f32, f32) = (0.4, 8.0);
 /// First time for which a target is avoided after a refusal, in milliseconds.
 const FIRST_AVOIDANCE: u64 = 250;
 /// Longest time for which a target is avoided, in milliseconds.
-const MAX_AVOIDANCE: u64 = 8_000;
+const MAX_AVOIDANCE: u64 = 2_000;
+
+/// What a node says of the load of the target beside it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Calls that run or wait.
+    pub busy: u32,
+    /// Calls that may run at a time.
+    pub limit: u32,
+}
 
 /// A target that calls can be sent to, with what this node knows of its load.
 #[derive(Debug)]
@@ -25,12 +57,25 @@
     pub peer: String,
     /// Calls that the target runs at a time.
     pub slots: u32,
+    /// Name that the target gave itself at its start; empty when it gave none.
+    pub instance: SmolStr,
     /// Calls of this node that the target runs or queues.
     running: AtomicU32,
     /// Refusals in a row.
     refusals: AtomicU32,
     /// Time until which the target is avoided, in milliseconds.
     avoided_until: AtomicU64,
+    /// Newest report: calls that run or wait, and the limit.
+    busy: AtomicU32,
+    limit: AtomicU32,
+    /// Calls of this node that ran when the report came.
+    running_then: AtomicU32,
+    reported_at: AtomicU64,
+    /// Part of failed calls, as bits of an `f32`.
+    failures: AtomicU32,
+    failed_at: AtomicU64,
+    /// Time of answers as a multiple of what is usual for their routes, as bits of an `f32`.
+    slowness: AtomicU32,
 }
 
 impl Candidate {
@@ -41,12 +86,27 @@
             zone,
             peer,
             slots: slots.max(1),
+            instance: SmolStr::default(),
             running: AtomicU32::new(0),
             refusals: AtomicU32::new(0),
             avoided_until: AtomicU64::new(0),
+            busy: AtomicU32::new(0),
+            limit: AtomicU32::new(0),
+            running_then: AtomicU32::new(0),
+            reported_at: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
+            failed_at: AtomicU64::new(0),
+            slowness: AtomicU32::new(1.0_f32.to_bits()),
         }
     }
 
+    /// Sets the name that the target gave itself at its start.
+    #[must_use]
+    pub fn of_instance(mut self, instance: SmolStr) -> Self {
+        self.instance = instance;
+        self
+    }
+
     /// Records that a call was sent.
     pub fn begin(&self) {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -62,6 +122,31 @@
         self.refusals.store(0, Ordering::Relaxed);
     }
 
+    /// Records what the target's node says of its load.
+    pub fn report(&self, report: LoadReport, now_ms: u64) {
+        self.busy.store(report.busy, Ordering::Relaxed);
+        self.limit.store(report.limit.max(1), Ordering::Relaxed);
+        self.running_then.store(self.running.load(Ordering::Relaxed), Ordering::Relaxed);
+        self.reported_at.store(now_ms.max(1), Ordering::Relaxed);
+    }
+
+    /// Records whether a call that ran there failed.
+    pub fn judge(&self, failed: bool, now_ms: u64) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        let part = self.failure_part(now_ms);
+        let next = part + (sample - part) * ANSWER_WEIGHT;
+        self.failures.store(next.to_bits(), Ordering::Relaxed);
+        self.failed_at.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Records the time of an answer as a multiple of what is usual for its route.
+    pub fn time(&self, multiple: f32) {
+        let held = f32::from_bits(self.slowness.load(Ordering::Relaxed));
+        let sample = multiple.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        let next = held + (sample - held) * ANSWER_WEIGHT;
+        self.slowness.store(next.to_bits(), Ordering::Relaxed);
+    }
+
     /// Records that a call was refused or its answer lost, and avoids the target for a while.
     pub fn refused(&self, now_ms: u64) {
         let earlier = self.refusals.fetch_add(1, Ordering::Relaxed);
@@ -70,9 +155,40 @@
         self.avoided_until.store(until, Ordering::Relaxed);
     }
 
-    /// Returns the load in per cent of the slots.
-    fn load(&self) -> u64 {
-        u64::from(self.running.load(Ordering::Relaxed)) * 100 / u64::from(self.slots)
+    fn failure_part(&self, now_ms: u64) -> f32 {
+        let held = f32::from_bits(self.failures.load(Ordering::Relaxed));
+        let age = now_ms.saturating_sub(self.failed_at.load(Ordering::Relaxed));
+        held * 0.5_f32.powf(age as f32 / FORGIVENESS as f32)
+    }
+
+    /// Returns the calls that run or wait, and the limit, as far as this node can tell.
+    fn load(&self, now_ms: u64) -> (f64, f64) {
+        let own = self.running.load(Ordering::Relaxed);
+        let reported_at = self.reported_at.load(Ordering::Relaxed);
+        if reported_at == 0 || now_ms > reported_at + REPORT_LIFE {
+            return (f64::from(own), f64::from(self.slots));
+        }
+        let then = self.running_then.load(Ordering::Relaxed);
+        let since = f64::from(own) - f64::from(then);
+        let busy = f64::from(self.busy.load(Ordering::Relaxed)) + since;
+        (busy.max(f64::from(own)), f64::from(self.limit.load(Ordering::Relaxed)))
+    }
+
+    /// Returns the expected cost of one more call, in service times.
+    pub fn cost(&self, zone: &ZoneName, now_ms: u64) -> f64 {
+        let (busy, limit) = self.load(now_ms);
+        let used = busy / limit;
+        let waiting = match used {
+            used if used >= 1.0 => FULL_COST + LOAD_COST + (busy - limit + 1.0) / limit,
+            used => {
+                let above = ((used - FREE_LOAD) / (1.0 - FREE_LOAD)).max(0.0);
+                above * FULL_COST + used * LOAD_COST
+            }
+        };
+        let slowness = f64::from(f32::from_bits(self.slowness.load(Ordering::Relaxed)));
+        let away = if self.zone == *zone { 0.0 } else { ZONE_COST };
+        let failures = f64::from(self.failure_part(now_ms)) * FAILURE_COST;
+        slowness * (1.0 + waiting) + away + failures
     }
 
     fn is_avoided(&self, now_ms: u64) -> bool {
@@ -80,28 +196,30 @@
     }
 }
 
-/// Chooses among `candidates`, leaving out those whose key is in `tried`.
+/// Chooses among `candidates`, leaving out those whose key is in `tried` and other versions than `version`.
 ///
 /// Targets that are avoided are taken only when no other is left.
 pub fn choose<'a, C: AsRef<Candidate>>(
     candidates: &'a [C],
     zone: &ZoneName,
+    version: Option<&SmolStr>,
     tried: &[TargetKey],
     now_ms: u64,
     rng: &mut impl Rng,
 ) -> Option<&'a C> {
-    let fresh: Vec<&C> = candidates.iter().filter(|c| !tried.contains(&c.as_ref().key)).collect();
-    let ready: Vec<&C> = fresh.iter().copied().filter(|c| !c.as_ref().is_avoided(now_ms)).collect();
-    let near: Vec<&C> = ready
-        .iter()
-        .copied()
-        .filter(|c| c.as_ref().zone == *zone && c.as_ref().load() < SPILL_LOAD)
-        .collect();
-    let pool = [near, ready, fresh].into_iter().find(|pool| !pool.is_empty())?;
-    let first = pool[rng.random_range(0..pool.len())];
-    let second = pool[rng.random_range(0..pool.len())];
-    match first.as_ref().load() <= second.as_ref().load() {
-        true => Some(first),
-        false => Some(second),
+    let mut best: Option<(bool, f64, &C)> = None;
+    for held in candidates {
+        let candidate = held.as_ref();
+        let is_wanted = version.is_none_or(|version| *version == candidate.key.version);
+        if !is_wanted || tried.contains(&candidate.key) {
+            continue;
+        }
+        let avoided = candidate.is_avoided(now_ms);
+        let cost = candidate.cost(zone, now_ms) + rng.random::<f64>() * NOISE;
+        let better = best.is_none_or(|(was_avoided, least, _)| (avoided, cost) < (was_avoided, least));
+        if better {
+            best = Some((avoided, cost, held));
+        }
     }
+    best.map(|(_, _, held)| held)
 }
--- a/crates/traffic/src/router.rs
+++ b/crates/traffic/src/router.rs
@@ -3,30 +3,54 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcuplift_config::{Document, Kind, Resource, ResourceKey};
+use kingcuplift_config::{Document, Kind, Part, Resource, ResourceKey, Semantics};
 use kingcuplift_core::{Rank, ServiceName};
+use rand::Rng;
 use smol_str::SmolStr;
 
+/// Targets that one call may be sent to when the route names no number.
+const DEFAULT_ATTEMPTS: usize = 4;
 /// Rank of a route without a priority.
 const DEFAULT_RANK: Rank = Rank::new(100);
 
 /// What a matched route says of a call.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteMatch {
     /// Name of the route.
     pub name: SmolStr,
     /// Beginning of the path.
     pub prefix: SmolStr,
-    /// Service that serves the call.
-    pub service: ServiceName,
+    /// Services that share the calls; one at least.
+    pub parts: Vec<Part>,
     /// Order of service.
     pub rank: Rank,
     /// Longest time for the call.
     pub timeout: Duration,
+    /// Time within which an answer has its full value.
+    pub objective: Duration,
+    /// Whether a call may run more than once; `None` means that its method decides.
+    pub semantics: Option<Semantics>,
+    /// Most targets that one call is sent to.
+    pub attempts: usize,
+}
+
+impl RouteMatch {
+    /// Draws the service of one call by the weights of the parts.
+    pub fn draw_service(&self, rng: &mut impl Rng) -> &ServiceName {
+        let total: f64 = self.parts.iter().map(|part| part.weight).sum();
+        let mut rest = rng.random::<f64>() * total;
+        for part in &self.parts {
+            rest -= part.weight;
+            if rest < 0.0 {
+                return &part.service;
+            }
+        }
+        &self.parts[0].service
+    }
 }
 
 /// Routes of one version, by host; a copy shares what is equal.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Router {
     /// Routes of a host, the longest prefix first.
     hosts: imbl::HashMap<SmolStr, Arc<[RouteMatch]>>,
@@ -66,9 +90,15 @@
     Some(RouteMatch {
         name: key.name.clone(),
         prefix: route.prefix.clone(),
-        service: route.service.clone(),
-        rank: route.priority.as_ref().map_or(DEFAULT_RANK, |name| rank(document, name)),
+        parts: route.parts.clone(),
+        rank: match (&route.priority, route.rank) {
+            (Some(name), _) => rank(document, name),
+            (None, rank) => rank.unwrap_or(DEFAULT_RANK),
+        },
         timeout: route.timeout,
+        objective: route.objective.unwrap_or(route.timeout).min(route.timeout),
+        semantics: route.semantics,
+        attempts: route.attempts.map_or(DEFAULT_ATTEMPTS, |attempts| attempts as usize),
     })
 }
 
