--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 
 use kingcuplift_config::{
-    Document, Feed, Kind, Resource, ResourceKey, ServiceSpec, Stored, ZoneState,
+    CALLER_LIMITS, CallerLimits, Document, Feed, Kind, MoveState, Resource, ResourceKey,
+    ServiceSpec, Stored, ZoneState,
 };
-use kingcuplift_core::Version;
+use kingcuplift_core::{Share, Version};
 use kingcuplift_schema::control::{Target, TargetState};
+use rand::Rng;
 use smol_str::SmolStr;
 
 use crate::choice::Candidate;
@@ -24,6 +26,47 @@
     pub spec: ServiceSpec,
     /// Targets that new calls may go to.
     pub candidates: Vec<Arc<Candidate>>,
+    /// Target versions that take the calls.
+    pub serving: Serving,
+}
+
+/// Target versions that take the calls of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Serving {
+    /// All of them.
+    Any,
+    /// One of them.
+    Only(SmolStr),
+    /// Two of them, while traffic moves.
+    Split {
+        /// Version that had the traffic.
+        from: SmolStr,
+        /// Version that is to get it.
+        to: SmolStr,
+        /// Share of the new version, in thousandths.
+        moved: u16,
+    },
+}
+
+impl Serving {
+    /// Returns whether a target version takes calls.
+    pub fn takes(&self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == version,
+            Self::Split { from, to, .. } => from == version || to == version,
+        }
+    }
+
+    /// Draws the target version of one call; `None` means any.
+    pub fn draw(&self, rng: &mut impl Rng) -> Option<&SmolStr> {
+        match self {
+            Self::Any => None,
+            Self::Only(only) => Some(only),
+            Self::Split { to, moved, .. } if rng.random_range(0..1_000) < *moved => Some(to),
+            Self::Split { from, .. } => Some(from),
+        }
+    }
 }
 
 /// Routes and services of one version.
@@ -31,6 +74,7 @@
 pub struct View {
     version: Version,
     router: Router,
+    limits: CallerLimits,
     services: imbl::HashMap<SmolStr, Arc<ServiceView>>,
 }
 
@@ -39,6 +83,7 @@
 struct Concerned {
     hosts: BTreeSet<SmolStr>,
     services: BTreeSet<SmolStr>,
+    limits: bool,
     is_all: bool,
 }
 
@@ -53,6 +98,11 @@
         &self.router
     }
 
+    /// Returns what callers may send.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
     /// Returns one service.
     pub fn service(&self, name: &str) -> Option<&Arc<ServiceView>> {
         self.services.get(name)
@@ -83,6 +133,9 @@
         for name in &concerned.services {
             self.refresh_service(document, table, name);
         }
+        if concerned.is_all || concerned.limits {
+            self.limits = caller_limits(document);
+        }
         self.version = feed.head();
     }
 
@@ -95,13 +148,13 @@
         };
         let before = self.services.get(name).cloned();
         let known = before.as_ref().map(|view| view.candidates.as_slice()).unwrap_or_default();
-        let serving = starting_version(document, &key);
+        let serving = serving(document, &key);
         let candidates = table
             .of_service(name)
-            .filter(|(_, target)| takes_calls(document, target, serving))
+            .filter(|(_, target)| takes_calls(document, target, &serving))
             .filter_map(|(key, target)| candidate(known, key, target))
             .collect();
-        let view = ServiceView { spec: spec.clone(), candidates };
+        let view = ServiceView { spec: spec.clone(), candidates, serving };
         self.services.insert(name.clone(), Arc::new(view));
     }
 }
@@ -119,6 +172,7 @@
                 }
                 Resource::Priority(_) => self.add_routes_of(document, key),
                 Resource::Zone(_) => self.is_all = true,
+                Resource::Limits(_) => self.limits = true,
             }
         }
     }
@@ -133,34 +187,61 @@
     }
 }
 
-/// Returns the target version that a move of the service starts from.
-///
-/// While a move has no share yet, only that version takes calls.
-fn starting_version<'a>(document: &'a Document, service: &ResourceKey) -> Option<&'a str> {
+/// Returns the target versions that take the calls of a service.
+pub fn serving(document: &Document, service: &ResourceKey) -> Serving {
     let referrers = document.referrers(service).filter_map(|key| document.get(key));
-    referrers.into_iter().find_map(|stored| match &stored.resource {
-        Resource::Move(spec) => Some(spec.from.as_str()),
+    let spec = referrers.into_iter().find_map(|stored| match &stored.resource {
+        Resource::Move(spec) => Some(spec),
         _ => None,
-    })
+    });
+    let Some(spec) = spec else { return Serving::Any };
+    let to = SmolStr::new(spec.to.as_str());
+    let Some(from) = spec.from.as_ref().map(|from| SmolStr::new(from.as_str())) else {
+        return Serving::Only(to);
+    };
+    match spec.state {
+        MoveState::Waiting | MoveState::TakenBack => Serving::Only(from),
+        MoveState::Done if spec.share == Share::WHOLE => Serving::Only(to),
+        MoveState::Moving if spec.moved == 0 => Serving::Only(from),
+        MoveState::Moving | MoveState::Done => Serving::Split { from, to, moved: spec.moved },
+    }
+}
+
+fn caller_limits(document: &Document) -> CallerLimits {
+    let key = ResourceKey::new(Kind::Limits, CALLER_LIMITS);
+    match document.get(&key).map(|stored| &stored.resource) {
+        Some(Resource::Limits(limits)) => limits.clone(),
+        _ => CallerLimits::default(),
+    }
+}
+
+/// Returns whether an availability zone is out of service.
+pub fn is_out(document: &Document, zone: &str) -> bool {
+    let key = ResourceKey::new(Kind::Zones, zone);
+    let stored = document.get(&key).map(|stored| &stored.resource);
+    stored == Some(&Resource::Zone(ZoneState::Out))
 }
 
 /// Returns whether new calls may go to a target.
-fn takes_calls(document: &Document, target: &Target, serving: Option<&str>) -> bool {
-    let key = ResourceKey::new(Kind::Zones, &target.zone);
-    let zone = document.get(&key).map(|stored| &stored.resource);
+fn takes_calls(document: &Document, target: &Target, serving: &Serving) -> bool {
     target.state() == TargetState::Ready
-        && zone != Some(&Resource::Zone(ZoneState::Out))
-        && serving.is_none_or(|version| version == target.version)
+        && !is_out(document, &target.zone)
+        && serving.takes(&target.version)
 }
 
 /// Returns the candidate of a target, keeping what is known of its load.
 fn candidate(known: &[Arc<Candidate>], key: &TargetKey, target: &Target) -> Option<Arc<Candidate>> {
     let same = |held: &&Arc<Candidate>| {
-        held.key == *key && held.peer == target.peer && held.slots == target.slots
+        held.key == *key
+            && held.peer == target.peer
+            && held.slots == target.slots
+            && held.instance == target.instance
     };
     if let Some(held) = known.iter().find(same) {
         return Some(Arc::clone(held));
     }
     let zone = target.zone.parse().ok()?;
-    Some(Arc::new(Candidate::new(key.clone(), zone, target.peer.clone(), target.slots)))
+    let instance = SmolStr::new(&target.instance);
+    let peer = target.peer.clone();
+    Some(Arc::new(Candidate::new(key.clone(), zone, peer, target.slots).of_instance(instance)))
 }
