--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -79,6 +79,10 @@
     StartFailed = 4, Error;
     /// The node refuses new calls and finishes those in flight.
     CallsDraining = 5, Info;
+    /// Changed settings are in use.
+    SettingsReloaded = 6, Info;
+    /// Changed settings are faulty and the old ones stay in use.
+    SettingsRefused = 7, Error;
     /// A source member won an election.
     LeaderElected = 101, Info;
     /// A source member gave up leadership.
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -6,7 +6,7 @@
 use kingcuplift_config::{Feed, Subscription, encode_update};
 use kingcuplift_core::{Digest, NodeName, Version, ZoneName};
 use kingcuplift_schema::control::{
-    Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
+    Beat, Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
 };
 use kingcuplift_traffic::TargetTable;
 use tokio::sync::Notify;
@@ -29,6 +29,8 @@
     position: Option<u64>,
     /// Number of the directory sent last.
     directory: u64,
+    /// A beat that is to be sent, and what it says of freshness.
+    beat: Option<bool>,
     replies: Vec<FreshnessReply>,
     wake: Arc<Notify>,
 }
@@ -80,6 +82,7 @@
             digest: None,
             position: None,
             directory: 0,
+            beat: None,
             replies: Vec::new(),
             wake: Arc::clone(&wake),
         };
@@ -126,6 +129,14 @@
         }
     }
 
+    /// Shows all processes that their links work.
+    pub(crate) fn beat_all(&mut self, fresh: bool) {
+        for downstream in self.sessions.values_mut() {
+            downstream.beat = Some(fresh);
+            downstream.wake.notify_one();
+        }
+    }
+
     /// Wakes the senders of all processes.
     pub(crate) fn wake_all(&self) {
         for downstream in self.sessions.values() {
@@ -170,6 +181,7 @@
         }
         bodies.extend(downstream.next_targets(table).map(downward::Body::Targets));
         bodies.extend(downstream.replies.drain(..).map(downward::Body::Freshness));
+        bodies.extend(downstream.beat.take().map(|fresh| downward::Body::Beat(Beat { fresh })));
         Some(bodies.into_iter().map(|body| Downward { body: Some(body) }).collect())
     }
 }
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -67,6 +67,12 @@
     /// The peer's certificate or greeting grants nothing.
     #[error("the peer shows no name, availability zone, role and protocol")]
     NoGrant,
+    /// Nothing has arrived for too long.
+    #[error("nothing has arrived for too long")]
+    Silent,
+    /// The peer has no word of a current leader.
+    #[error("the peer has had no word of a current leader for too long")]
+    Stale,
     /// The stream of a TCP link was taken before.
     #[error("a TCP link has one stream only")]
     Taken,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,6 +11,7 @@
 mod headers;
 mod peers;
 mod pool;
+mod probe;
 mod respond;
 mod server;
 mod shared;
@@ -21,5 +22,5 @@
 
 pub(crate) use admin::serve_admin;
 pub(crate) use callers::serve_callers;
-pub(crate) use control::Drain;
+pub(crate) use control::{Drain, Resettle};
 pub(crate) use peers::serve_peers;
--- a/crates/daemon/src/node/body.rs
+++ b/crates/daemon/src/node/body.rs
@@ -55,14 +55,6 @@
         }
     }
 
-    /// Returns the bytes, if the body is held whole.
-    pub(crate) fn bytes(&self) -> Option<&[u8]> {
-        match self {
-            Self::Whole(bytes) => Some(bytes.as_deref().unwrap_or_default()),
-            Self::Streamed { .. } => None,
-        }
-    }
-
     /// Reads a body: whole while it is small, else its beginning.
     pub(crate) async fn read(mut incoming: Incoming, limit: u64) -> Result<Self, BodyError> {
         let length = incoming.size_hint().exact();
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -178,14 +178,14 @@
 impl Attempts<'_> {
     /// Sends the call to one target after another, as far as that can't run it twice.
     async fn run(mut self, call: Call) -> Result<Answer, Refusal> {
-        let version = self.service.serving.draw(&mut rand::rng());
+        let version = self.draw_version().cloned();
         let mut last: Result<Answer, Refusal> = Err(ResultCode::NoTarget.into());
         let mut next = Some(call);
         while let Some(call) = next.take() {
             let chosen = choose(
                 &self.service.candidates,
                 &self.worker.shared.zone,
-                version,
+                version.as_ref(),
                 &self.tried,
                 monotonic_ms(),
                 &mut rand::rng(),
@@ -212,6 +212,18 @@
         last
     }
 
+    /// Draws the target version of the call.
+    fn draw_version(&self) -> Option<&SmolStr> {
+        match &self.service.serving {
+            Serving::Split { from, to, .. }
+                if self.worker.shared.evidence().is_tripped(&self.name, to) =>
+            {
+                Some(from)
+            }
+            serving => serving.draw(&mut rand::rng()),
+        }
+    }
+
     /// Decides whether the call may go to another target.
     fn judge(&mut self, result: Result<Answer, Refusal>) -> Next {
         match &result {
@@ -280,8 +292,9 @@
         if !failed && let Some(service) = outcome.service {
             candidate.time(evidence.time(route, service));
         }
-        if matches!(self.service.serving, Serving::Split { .. }) {
-            evidence.count(&candidate.key, route, failed, service);
+        let was_shed = matches!(&outcome.result, Err(r) if r.code == ResultCode::TargetShed);
+        if let (Serving::Split { to, .. }, false) = (&self.service.serving, was_shed) {
+            evidence.count(&candidate.key, to, route, failed, service);
         }
     }
 }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message};
 use kingcuplift_config::{
     Applied, Document, Feed, Kind, Resource, ResourceKey, ServiceSpec, Subscription, decode_update,
 };
@@ -24,13 +24,18 @@
 use crate::link::Endpoint;
 use crate::metrics;
 use crate::node::gate::Gate;
+use crate::node::probe::ask_target;
 use crate::node::shared::{LocalTarget, Locals, NodeShared};
 use crate::upstream::{Addresses, FromAbove, LinkMeter, Upstream};
 
 /// Time between checks of leases.
 const TICK: Duration = Duration::from_millis(200);
+/// Time between reports of what calls show of target versions.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which an announcement is valid, in milliseconds.
 pub(crate) const LEASE: u64 = 6_000;
+/// Time after its start in which a node takes over targets known before, in milliseconds.
+const INHERITANCE: u64 = 5_000;
 /// Calls a second for a cold target whose service names no rate.
 const DEFAULT_WARMUP_RATE: PerSecond = PerSecond::new(20.0);
 /// Calls that may wait before a target whose service is not configured.
@@ -161,6 +166,10 @@
     is_out: bool,
     /// Whether the node takes no new calls for its targets, because it stops.
     is_closing: bool,
+    /// Address of the target beside the node, where the settings name it.
+    target: Option<SocketAddr>,
+    started_ms: u64,
+    own: Option<Addr<Self>>,
     view: View,
     /// Services whose targets have changed since the view was last updated.
     changed: BTreeSet<SmolStr>,
@@ -196,12 +205,22 @@
             addresses,
             is_out: false,
             is_closing: false,
+            target: None,
+            started_ms: monotonic_ms(),
+            own: None,
             view: View::default(),
             changed: BTreeSet::new(),
             freshness: Freshness::Unproved,
         }
     }
 
+    /// Sets the address of the target beside the node.
+    #[must_use]
+    pub fn with_target(mut self, target: Option<SocketAddr>) -> Self {
+        self.target = target;
+        self
+    }
+
     fn send_above(&self, body: upward::Body) {
         let message = Upward { body: Some(body) };
         // A link that is too slow or gone is replaced, and everything is stated anew.
@@ -237,7 +256,7 @@
             downward::Body::Targets(update) => self.merge_targets(update),
             downward::Body::Freshness(reply) => self.proved_fresh(reply),
             downward::Body::Directory(directory) => self.learn_places(&directory),
-            downward::Body::Suspect(_) | downward::Body::Redirect(_) => {}
+            downward::Body::Suspect(_) | downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
 
@@ -267,7 +286,11 @@
         let now = monotonic_ms();
         let mut mistaken = Vec::new();
         for target in update.targets {
-            if target.node == self.shared.name.as_str() && self.is_mistaken(&target) {
+            let is_own = target.node == self.shared.name.as_str();
+            if is_own && self.ask_inherited(&target) {
+                let known = self.incarnations.entry(TargetKey::of(&target)).or_default();
+                *known = (*known).max(target.incarnation);
+            } else if is_own && self.is_mistaken(&target) {
                 mistaken.push(TargetKey::of(&target));
                 let known = self.incarnations.entry(TargetKey::of(&target)).or_default();
                 *known = (*known).max(target.incarnation);
@@ -283,6 +306,28 @@
         }
     }
 
+    /// Asks a target that was known before the node's start whether it is still there.
+    ///
+    /// Returns false for any other target.
+    fn ask_inherited(&self, target: &Target) -> bool {
+        let key = TargetKey::of(target);
+        let spec = service_spec(self.feed.document(), &key.service);
+        let path = spec.and_then(|spec| spec.health.clone());
+        let (Some(address), Some(path)) = (self.target, path) else { return false };
+        let is_known = self.leases.get(&key).is_some() || target.instance.is_empty();
+        let is_gone = target.state() == TargetState::Gone;
+        let Some(actor) = self.own.clone() else { return false };
+        if is_known || is_gone || monotonic_ms() > self.started_ms + INHERITANCE {
+            return false;
+        }
+        let (shared, target) = (Arc::clone(&self.shared), target.clone());
+        actix::spawn(async move {
+            let warmup = ask_target(&shared.headers, address, &path, &target.instance).await;
+            actor.do_send(Inherited { target, address, warmup });
+        });
+        true
+    }
+
     /// Returns whether others know something of a target beside this node that is not so.
     fn is_mistaken(&self, target: &Target) -> bool {
         let key = TargetKey::of(target);
@@ -593,6 +638,10 @@
             self.withdraw(&expired, TargetState::Gone);
         }
         self.table.forget_gone(now);
+    }
+
+    /// Tells the relay what calls have shown of target versions.
+    fn report_evidence(&self) {
         if let Some(evidence) = self.shared.evidence().take() {
             self.send_above(upward::Body::Evidence(evidence));
         }
@@ -612,8 +661,10 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(TICK, |actor, _| actor.tick());
+        ctx.run_interval(EVIDENCE_INTERVAL, |actor, _| actor.report_evidence());
         // A second actor on the same state would be a fault of the program.
         drop(self.shared.control.set(ctx.address().recipient()));
+        self.own = Some(ctx.address());
         if let Some(upstream) = self.upstream.take() {
             actix::spawn(upstream.run(ctx.address().recipient()));
         }
@@ -627,6 +678,7 @@
         match message {
             FromAbove::Opened(above) => self.opened(above),
             FromAbove::Received(body) => self.received(*body),
+            FromAbove::Beat(_) => {}
             FromAbove::Closed => {
                 self.above = None;
                 self.is_linked = false;
@@ -645,6 +697,57 @@
     }
 }
 
+/// Takes over the relays and the service of changed settings.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Resettle {
+    pub(crate) relays: Vec<SocketAddr>,
+    pub(crate) service: Option<ServiceName>,
+}
+
+impl Handler<Resettle> for NodeActor {
+    type Result = ();
+
+    fn handle(&mut self, changed: Resettle, _: &mut Self::Context) {
+        self.addresses.settle(changed.relays);
+        self.shared.service.store(changed.service.map(Arc::new));
+    }
+}
+
+/// What became of a question to a target whether it is still the one known before the node's start.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Inherited {
+    target: Target,
+    address: SocketAddr,
+    /// Time for which the target says that it stays cold.
+    warmup: Option<Duration>,
+}
+
+impl Handler<Inherited> for NodeActor {
+    type Result = ();
+
+    fn handle(&mut self, found: Inherited, _: &mut Self::Context) {
+        let key = TargetKey::of(&found.target);
+        let (Some(warmup), false) = (found.warmup, self.leases.get(&key).is_some()) else { return };
+        let Ok(service) = found.target.service.parse() else { return };
+        self.announce(Announce {
+            service,
+            version: key.version,
+            address: found.address,
+            slots: Some(found.target.slots),
+            life: Some(Life {
+                instance: SmolStr::new(&found.target.instance),
+                born: found.target.born,
+                // Any report of its own is newer.
+                sequence: 0,
+                is_leaving: false,
+                warmup,
+            }),
+        });
+    }
+}
+
 impl Handler<Part> for NodeActor {
     type Result = ();
 
--- a/crates/daemon/src/node/evidence.rs
+++ b/crates/daemon/src/node/evidence.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use kingcuplift_schema::control::{Evidence, EvidenceCount};
-use kingcuplift_traffic::TargetKey;
+use kingcuplift_traffic::{MoveEvidence, Side, TargetKey};
 use smol_str::SmolStr;
 
+use crate::clock::monotonic_ms;
+
 /// Classes of answer times.
 const CLASSES: usize = 24;
 /// Weight of the newest answer in a route's usual time: one in this many.
@@ -21,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EvidenceTable {
     counts: HashMap<Key, EvidenceCount>,
+    /// What this node alone has seen of moves, by service and new version.
+    moves: HashMap<(SmolStr, SmolStr), MoveEvidence>,
     usual_ms: HashMap<SmolStr, f32>,
 }
 
@@ -36,14 +40,32 @@
         ms / usual.max(0.1)
     }
 
-    /// Counts one call of a move.
+    /// Returns whether this node has seen enough to stop using the new version of a move.
+    pub(crate) fn is_tripped(&self, service: &SmolStr, to: &SmolStr) -> bool {
+        let seen = self.moves.get(&(service.clone(), to.clone()));
+        seen.is_some_and(MoveEvidence::is_tripped)
+    }
+
+    /// Counts one call of a move to the version `to`.
     pub(crate) fn count(
         &mut self,
         target: &TargetKey,
+        to: &SmolStr,
         route: &SmolStr,
         failed: bool,
         time: Duration,
     ) {
+        let side = match target.version == *to {
+            true => Side::New,
+            false => Side::Old,
+        };
+        let mut single = EvidenceCount { route: route.to_string(), ..EvidenceCount::default() };
+        match failed {
+            true => single.failed = 1,
+            false => single.answered = 1,
+        }
+        let seen = self.moves.entry((target.service.clone(), to.clone())).or_default();
+        seen.add(side, &single, monotonic_ms());
         let key = (target.service.clone(), target.version.clone(), route.clone());
         let count = self.counts.entry(key).or_insert_with(|| EvidenceCount {
             service: target.service.to_string(),
--- a/crates/daemon/src/node/server.rs
+++ b/crates/daemon/src/node/server.rs
@@ -91,8 +91,13 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let handler = Rc::new(handler);
+    let mut closing = worker.shared.closing();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(&mut closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let (worker, handler) = (worker.clone(), Rc::clone(&handler));
                 tokio::task::spawn_local(serve(stream, worker, handler));
@@ -111,6 +116,7 @@
     H: Fn(Worker, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
+    let open = worker.shared.open_connection();
     if let Err(error) = prepare(&stream) {
         return log::debug!("a connection ended at once: {error}");
     }
@@ -140,6 +146,7 @@
     if let Err(error) = ended {
         log::trace!("a connection ended: {error}");
     }
+    drop(open);
 }
 
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -51,6 +51,7 @@
     is_draining: AtomicBool,
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
+    connections: Arc<AtomicUsize>,
     /// Time after which the next refused call is logged, in milliseconds.
     refusal_log_at: AtomicU64,
 }
@@ -72,6 +73,7 @@
             is_draining: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
+            connections: Arc::default(),
             refusal_log_at: AtomicU64::new(0),
         }
     }
@@ -127,6 +129,17 @@
         self.closing.subscribe()
     }
 
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn open_connection(&self) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::AcqRel);
+        ConnectionGuard(Arc::clone(&self.connections))
+    }
+
+    /// Returns the number of open connections of callers and other nodes.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
     /// Returns the number of calls that this node is working on.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
@@ -147,6 +160,16 @@
     }
 }
 
+/// Counts one open connection.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard(Arc<AtomicUsize>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Counts one call in flight.
 #[derive(Debug)]
 pub(crate) struct CallGuard(Arc<NodeShared>);
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -26,10 +26,6 @@
 const DEFAULT_ELECTION: Duration = Duration::from_millis(500);
 /// Permitted election times, in milliseconds.
 const ELECTION_RANGE: std::ops::RangeInclusive<u64> = 50..=60_000;
-/// Largest part of a move's calls before the target version is proved, unless set, in per cent.
-const DEFAULT_TRIAL: f64 = 10.0;
-/// The whole, in per cent.
-const PER_CENT: f64 = 100.0;
 /// Time for a stop, unless set; calls take less by default.
 const DEFAULT_STOP: Duration = Duration::from_secs(30);
 /// Milliseconds in a second.
@@ -107,8 +103,6 @@
     pub is_first: bool,
     /// Whether the leader writes down which target version of a service takes the calls.
     pub holds_versions: bool,
-    /// Largest part of a move's calls that a target version gets before it is proved, 0 to 1.
-    pub trial_part: f64,
     /// Time without a leader after which an election may begin.
     pub election: Duration,
 }
@@ -412,10 +406,6 @@
             let detail = "use 50 to 60000";
             self.bad(ResultCode::SettingsBadValue, "/source/election_ms", detail);
         }
-        let trial = wire.trial_share.unwrap_or(DEFAULT_TRIAL);
-        if !(0.0..=PER_CENT).contains(&trial) {
-            self.bad(ResultCode::SettingsBadValue, "/source/trial_share", "use 0 to 100");
-        }
         Some(SourceOptions {
             id,
             data: data?,
@@ -427,7 +417,6 @@
             zone,
             is_first: wire.first_start.unwrap_or(false),
             holds_versions: wire.hold_versions.unwrap_or(false),
-            trial_part: trial / PER_CENT,
             election: Duration::from_millis(election),
         })
     }
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -19,7 +19,7 @@
 use crate::link::{Endpoint, complete};
 use crate::metrics;
 use crate::relay::sums;
-use crate::session::{self, FromBelow, Join, Joined, Leave, Pull};
+use crate::session::{self, BEAT_INTERVAL, FromBelow, Join, Joined, Leave, Pull};
 use crate::upstream::{Addresses, FromAbove, LinkMeter, Upstream};
 
 /// Shortest time between two sends to one node.
@@ -28,6 +28,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a node may be away before its targets count as gone, in milliseconds.
 const NODE_GRACE: u64 = 10_000;
+/// Time for which the word of a current leader counts as fresh, in milliseconds.
+const FRESH_LIMIT: u64 = 1_000;
 /// Time after which a node tries again while the relay has no configuration, in milliseconds.
 const EMPTY_RETRY: u64 = 500;
 
@@ -63,6 +65,8 @@
     asked: Vec<(SessionId, u64)>,
     request: u64,
     reported: Progress,
+    /// When a current leader last showed itself, in milliseconds.
+    fresh_ms: u64,
 }
 
 impl RelayActor {
@@ -90,6 +94,7 @@
             asked: Vec::new(),
             request: 0,
             reported: Progress::default(),
+            fresh_ms: 0,
         }
     }
 
@@ -128,7 +133,7 @@
                 self.addresses.learn(sources.collect());
                 self.fanout.set_directory(directory);
             }
-            downward::Body::Suspect(_) | downward::Body::Redirect(_) => {}
+            downward::Body::Suspect(_) | downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
 
@@ -264,6 +269,10 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(REPORT_INTERVAL, |actor, _| actor.report());
+        ctx.run_interval(BEAT_INTERVAL, |actor, _| {
+            let fresh = monotonic_ms() < actor.fresh_ms + FRESH_LIMIT;
+            actor.fanout.beat_all(fresh);
+        });
         if let Some(upstream) = self.upstream.take() {
             actix::spawn(upstream.run(ctx.address().recipient()));
         }
@@ -277,6 +286,11 @@
         match message {
             FromAbove::Opened(above) => self.opened(above),
             FromAbove::Received(body) => self.received(*body),
+            FromAbove::Beat(fresh) => {
+                if fresh {
+                    self.fresh_ms = monotonic_ms();
+                }
+            }
             FromAbove::Closed => {
                 self.above = None;
                 self.is_linked = false;
@@ -285,6 +299,19 @@
     }
 }
 
+/// Takes over the source members of changed settings.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Resettle(pub(crate) Vec<std::net::SocketAddr>);
+
+impl Handler<Resettle> for RelayActor {
+    type Result = ();
+
+    fn handle(&mut self, changed: Resettle, _: &mut Self::Context) {
+        self.addresses.settle(changed.0);
+    }
+}
+
 impl Handler<Join> for RelayActor {
     type Result = Result<Joined, Redirect>;
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts the roles of a process, waits for the signal to stop, and stops them in order.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,8 +20,12 @@
 use crate::relay::{self, RelayActor};
 use crate::source::{self, HandOver, SourceActor};
 
-/// Time for which other nodes hear of a stop before new calls are refused.
-const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
+/// Time for which callers hear of a stop before connections are refused.
+const CALLER_NOTICE: Duration = Duration::from_millis(2_200);
+/// Time for which other nodes hear of a stop before connections are refused.
+const NODE_NOTICE: Duration = Duration::from_millis(350);
+/// Time between looks at the settings file.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Time between looks whether all calls have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time for a successor to take over leadership.
@@ -32,6 +37,7 @@
     endpoints: Vec<Endpoint>,
     servers: Vec<ServerHandle>,
     source: Option<Addr<SourceActor>>,
+    relay: Option<Addr<RelayActor>>,
     node: Option<RunningNode>,
 }
 
@@ -52,14 +58,14 @@
         return Ok(());
     }
     logger::install(options.log_format, options.log_level);
-    let outcome = actix::System::new().block_on(serve(options));
+    let outcome = actix::System::new().block_on(serve(options, &arguments.settings));
     if let Err(error) = &outcome {
         Event::StartFailed.emit(&[("reason", error)]);
     }
     outcome
 }
 
-async fn serve(options: Options) -> Result<(), StartError> {
+async fn serve(options: Options, path: &Path) -> Result<(), StartError> {
     let credentials = credentials::load(&options)?;
     let mut running = Running::default();
     if let Some(source) = &options.source {
@@ -73,7 +79,7 @@
     }
     actix::spawn(credentials::follow(options.keys.clone(), running.endpoints.clone()));
     Event::ProcessStarted.emit(&[("process", &options.name), ("zone", &options.zone)]);
-    wait_for_signal().await;
+    wait_for_stop(&running, path, &options).await;
     Event::ProcessStopping.emit(&[("process", &options.name)]);
     running.stop().await;
     Event::ProcessStopped.emit(&[("process", &options.name)]);
@@ -113,7 +119,8 @@
         )
         .start();
         actix::spawn(relay::accept_nodes(endpoint, actor.clone()));
-        self.serve(relay::serve_http(relay.http, actor)?);
+        self.serve(relay::serve_http(relay.http, actor.clone())?);
+        self.relay = Some(actor);
         Ok(())
     }
 
@@ -136,6 +143,7 @@
             node.relays.clone(),
             metrics::control_link(),
         )
+        .with_target(node.target)
         .start();
         node::serve_peers(node.peers, node.threads, &shared)?;
         node::serve_callers(node.callers, node.threads, &shared)?;
@@ -177,33 +185,76 @@
 }
 
 impl RunningNode {
-    /// Sends callers elsewhere, then refuses calls from other nodes, then waits for those in flight.
+    /// Sends callers elsewhere while all is still served, then takes nothing new, then waits for what is in flight.
     async fn stop(&self) {
-        let began = Instant::now();
+        let until = Instant::now() + self.stop;
         self.shared.begin_stop();
+        tokio::time::sleep(CALLER_NOTICE.min(self.stop / 3)).await;
         if self.actor.send(node::Drain).await.is_err() {
             log::warn!("the node's actor ended before the stop");
         }
-        tokio::time::sleep(LEAVE_NOTICE.min(self.stop / 3)).await;
+        tokio::time::sleep(NODE_NOTICE.min(self.stop / 10)).await;
         self.shared.close();
         Event::CallsDraining.emit(&[("calls", &self.shared.in_flight())]);
-        while self.shared.in_flight() > 0 && began.elapsed() < self.stop {
+        while self.shared.connections() > 0 && Instant::now() < until {
             tokio::time::sleep(DRAIN_POLL).await;
         }
-        // Connections write what is left of their last answers.
-        tokio::time::sleep(DRAIN_POLL).await;
     }
 }
 
-async fn wait_for_signal() {
-    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    match (terminate, interrupt) {
-        (Ok(mut terminate), Ok(mut interrupt)) => {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
+/// Waits for the signal to stop; follows the settings file until then.
+async fn wait_for_stop(running: &Running, path: &Path, options: &Options) {
+    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)] = signals.map(signal) else {
+        log::error!("the signals to stop can't be received; kill the process to end it");
+        return std::future::pending().await;
+    };
+    let mut text = std::fs::read_to_string(path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => running.reload(path, &mut text, options).await,
+            () = tokio::time::sleep(SETTINGS_POLL) => running.reload(path, &mut text, options).await,
+        }
+    }
+}
+
+impl Running {
+    /// Takes over what may change while the process runs: addresses of others, and the target's service.
+    ///
+    /// Faulty settings are reported and the old ones stay in use.
+    async fn reload(&self, path: &Path, held: &mut String, options: &Options) {
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) if text == *held => return,
+            Ok(text) => text,
+            Err(error) => return Event::SettingsRefused.emit(&[("reason", &error)]),
+        };
+        let changed = match Options::parse(&text) {
+            Ok(changed) => changed,
+            Err(faults) => return Event::SettingsRefused.emit(&[("reason", &faults)]),
+        };
+        *held = text;
+        Event::SettingsReloaded.emit(&[("process", &options.name)]);
+        let sent = [
+            match (&self.source, changed.source) {
+                (Some(source), Some(new)) => source.send(source::Resettle(new.seeds)).await,
+                _ => Ok(()),
+            },
+            match (&self.relay, changed.relay) {
+                (Some(relay), Some(new)) => relay.send(relay::Resettle(new.sources)).await,
+                _ => Ok(()),
+            },
+            match (&self.node, changed.node) {
+                (Some(node), Some(new)) => {
+                    let resettle = node::Resettle { relays: new.relays, service: new.service };
+                    node.actor.send(resettle).await
+                }
+                _ => Ok(()),
+            },
+        ];
+        if sent.iter().any(Result::is_err) {
+            log::error!("a role has ended and did not take over the changed settings");
         }
-        _ => std::future::pending().await,
     }
 }
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -13,6 +13,8 @@
 use crate::fanout::SessionId;
 use crate::link::{Accepted, LinkError, Reader, Writer};
 
+/// Time between beats on a link.
+pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest time for a peer to close a link after a redirect.
 const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -21,6 +21,7 @@
 use crate::error::StartError;
 use crate::link::Endpoint;
 use crate::options::SourceOptions;
+use crate::session::BEAT_INTERVAL;
 use crate::source::answer::Answer;
 use crate::source::links::{FromPeer, dial_member};
 use crate::source::members;
@@ -107,7 +108,6 @@
             Some(_) => Stage::Member(new_replica(identity, &options, recovery.restored)),
             None => Stage::Forming(Formation::new(own.clone(), founders(&options))),
         };
-        let moves = MoveControl::new(options.trial_part);
         Ok(Self {
             options,
             name,
@@ -119,7 +119,7 @@
             dialed: HashMap::new(),
             own,
             placement: Placement::default(),
-            moves,
+            moves: MoveControl::default(),
             catalog,
             answers: HashMap::new(),
             token: 0,
@@ -360,6 +360,11 @@
             actor.publish_places();
             actor.hold_versions();
         });
+        ctx.run_interval(BEAT_INTERVAL, |actor, _| {
+            let Stage::Member(replica) = &actor.stage else { return };
+            let fresh = replica.is_current(monotonic_ms());
+            actor.relays.fanout.beat_all(fresh);
+        });
         ctx.run_interval(MOVE_INTERVAL, |actor, _| actor.tick_moves());
         ctx.run_interval(self.options.election / TICKS, |actor, ctx| {
             let is_member = matches!(actor.stage, Stage::Member(_));
@@ -392,6 +397,19 @@
     }
 }
 
+/// Takes over the seeds of changed settings.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct Resettle(pub(crate) Vec<SocketAddr>);
+
+impl Handler<Resettle> for SourceActor {
+    type Result = ();
+
+    fn handle(&mut self, changed: Resettle, _: &mut Self::Context) {
+        self.options.seeds = changed.0;
+    }
+}
+
 impl Handler<Written> for SourceActor {
     type Result = ();
 
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -1,22 +1,26 @@
 //! Moves that the leader carries out.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use actix::{Handler, Message, ResponseFuture};
-use kingcuplift_config::{Kind, MoveState, Resource, ResourceKey, Submission};
-use kingcuplift_core::{OperationId, ResultCode, ServiceName, TargetVersion};
+use kingcuplift_config::{Kind, MoveSpec, MoveState, Resource, ResourceKey, Submission};
+use kingcuplift_core::{Event, OperationId, ResultCode, ServiceName, TargetVersion};
 use kingcuplift_quorum::{Event as Input, RoleName};
 use kingcuplift_schema::Message as _;
-use kingcuplift_schema::control::{Evidence, TargetState};
+use kingcuplift_schema::control::{Evidence, Target, TargetState};
+use kingcuplift_traffic::{MoveEvidence, MoveStage, MoveStep, Side, next_step};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
-use crate::clock::wall_ms;
+use crate::clock::{monotonic_ms, wall_ms};
 use crate::source::actor::{SourceActor, Stage};
 use crate::source::answer::Answer;
 
 /// Time between looks at the moves.
 pub(crate) const MOVE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for a move whose order names none.
+const DEFAULT_WITHIN: Duration = Duration::from_secs(60);
 /// Time after its end for which the same order counts as a resend, in milliseconds.
 const RESEND_TIME: u64 = 10_000;
 
@@ -30,30 +34,125 @@
     pub(crate) operation: OperationId,
 }
 
-/// Evidence of the moves that go on.
+/// What the leader knows of a move that goes on.
 #[derive(Debug)]
+struct Watched {
+    to: SmolStr,
+    evidence: MoveEvidence,
+    moved: u16,
+    /// When the share was last seen to change, on the leader's clock.
+    changed_ms: u64,
+    /// Whether a step is on its way into the log.
+    is_stepping: bool,
+}
+
+/// Moves that go on, by service.
+#[derive(Debug, Default)]
 pub(crate) struct MoveControl {
-    trial_part: f64,
+    watched: HashMap<SmolStr, Watched>,
 }
 
 impl MoveControl {
-    /// Makes the control of a leader that knows of no evidence.
-    pub(crate) fn new(trial_part: f64) -> Self {
-        Self { trial_part }
-    }
-
     /// Forgets all evidence, because another member leads.
     pub(crate) fn forget(&mut self) {
-        *self = Self::new(self.trial_part);
+        self.watched.clear();
     }
 
-    /// Takes evidence of nodes.
-    pub(crate) fn learn(&mut self, _evidence: &Evidence) {}
+    /// Takes evidence of nodes; returns whether any of it concerns a move that goes on.
+    fn learn(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
+        let mut concerned = false;
+        for count in &evidence.counts {
+            let Some(watched) = self.watched.get_mut(count.service.as_str()) else { continue };
+            let side = match watched.to == count.version {
+                true => Side::New,
+                false => Side::Old,
+            };
+            watched.evidence.add(side, count, now_ms);
+            concerned |= side == Side::New;
+        }
+        concerned
+    }
 }
 
 impl SourceActor {
-    /// Carries the moves further.
-    pub(crate) fn tick_moves(&mut self) {}
+    /// Takes evidence of nodes, and acts on it at once.
+    pub(crate) fn learn_evidence(&mut self, evidence: &Evidence) {
+        if self.moves.learn(evidence, monotonic_ms()) {
+            self.tick_moves();
+        }
+    }
+
+    /// Carries the moves further, as leader.
+    pub(crate) fn tick_moves(&mut self) {
+        let Stage::Member(replica) = &self.stage else { return };
+        if replica.role() != RoleName::Leader || !replica.is_current(monotonic_ms()) {
+            return;
+        }
+        let document = self.catalog.feed().document();
+        let mut going: Vec<MoveSpec> = Vec::new();
+        for key in document.keys_of(Kind::Moves) {
+            match document.get(key).map(|stored| &stored.resource) {
+                Some(Resource::Move(spec)) if is_going(spec) => going.push(spec.clone()),
+                _ => {}
+            }
+        }
+        let is_on = |service: &SmolStr| going.iter().any(|spec| spec.service.as_str() == service);
+        self.moves.watched.retain(|service, _| is_on(service));
+        for spec in going {
+            self.carry_on(&spec);
+        }
+    }
+
+    /// Decides on the next step of one move and submits it.
+    fn carry_on(&mut self, spec: &MoveSpec) {
+        let now = monotonic_ms();
+        let name = SmolStr::new(spec.service.as_str());
+        let targets = self.relays.targets.table().of_service(&name);
+        let is_ready = |target: &Target| {
+            target.version == spec.to.as_str() && target.state() == TargetState::Ready
+        };
+        let targets = targets.filter(|(_, target)| is_ready(target)).count();
+        let watched = self.moves.watched.entry(name.clone()).or_insert_with(|| Watched {
+            to: SmolStr::new(spec.to.as_str()),
+            evidence: MoveEvidence::default(),
+            moved: spec.moved,
+            changed_ms: now,
+            is_stepping: false,
+        });
+        if watched.moved != spec.moved {
+            watched.moved = spec.moved;
+            watched.changed_ms = now;
+            watched.is_stepping = false;
+        }
+        if watched.is_stepping {
+            return;
+        }
+        let stage = MoveStage {
+            moved: spec.moved,
+            held: Duration::from_millis(now - watched.changed_ms),
+            elapsed: Duration::from_millis(wall_ms().saturating_sub(spec.ordered_ms)),
+            within: spec.within.unwrap_or(DEFAULT_WITHIN),
+            targets,
+        };
+        let step = next_step(stage, &watched.evidence);
+        let change = match &step {
+            MoveStep::Wait => return,
+            MoveStep::Share(moved) => {
+                json!({ "state": MoveState::Moving.as_str(), "moved": moved })
+            }
+            MoveStep::Done => json!({ "state": MoveState::Done.as_str(), "moved": 1_000 }),
+            MoveStep::TakeBack(_) => json!({ "state": MoveState::TakenBack.as_str(), "moved": 0 }),
+        };
+        watched.is_stepping = true;
+        let reason = match &step {
+            MoveStep::TakeBack(Some(fault)) => {
+                format!("{:.0} of {:.0} calls of {} were bad", fault.bad, fault.calls, fault.route)
+            }
+            _ => format!("{targets} targets, {:.1?} since the order", stage.elapsed),
+        };
+        Event::MoveStepped.emit(&[("service", &name), ("step", &change), ("reason", &reason)]);
+        self.submit_own(json!({ "moves": { name.as_str(): change } }));
+    }
 
     /// As leader, writes down which target version takes the calls of a service that has had one only.
     pub(crate) fn hold_versions(&mut self) {
@@ -115,6 +214,11 @@
     }
 }
 
+/// Returns whether the leader has to carry a move on.
+fn is_going(spec: &MoveSpec) -> bool {
+    !spec.state.is_final() && spec.from.is_some()
+}
+
 impl Handler<StartMove> for SourceActor {
     type Result = ResponseFuture<Answer>;
 
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -140,7 +140,7 @@
                 self.answer_freshness();
             }
             upward::Body::Resync(_) => self.relays.fanout.resync(session),
-            upward::Body::Evidence(evidence) => self.moves.learn(&evidence),
+            upward::Body::Evidence(evidence) => self.learn_evidence(&evidence),
             upward::Body::Hello(_) | upward::Body::Applied(_) | upward::Body::Suspect(_) => {}
         }
     }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 
@@ -22,6 +22,12 @@
 const MAX_DELAY: u64 = 3_000;
 /// Longest time for one connection attempt.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// Silence after which a link counts as lost; beats come more than three times as often.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
+/// Time without word of a current leader after which another process is tried, at first.
+const STALE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Doublings of that time while no process has word of a leader.
+const MAX_STALE_DOUBLINGS: u32 = 4;
 /// Range of the first attempt's place in the list of addresses.
 const MAX_FIRST: usize = 64;
 /// Messages that wait to be sent.
@@ -35,6 +41,8 @@
     Opened(mpsc::Sender<Upward>),
     /// A message arrived.
     Received(Box<downward::Body>),
+    /// A beat arrived; it says whether the process above has word of a current leader.
+    Beat(bool),
     /// The link has ended.
     Closed,
 }
@@ -42,7 +50,7 @@
 /// Addresses that can be replaced while links are made; never empty.
 #[derive(Debug, Clone)]
 pub(crate) struct Addresses {
-    settled: Arc<Vec<SocketAddr>>,
+    settled: Arc<ArcSwap<Vec<SocketAddr>>>,
     known: Arc<ArcSwap<Vec<SocketAddr>>>,
 }
 
@@ -50,13 +58,19 @@
     /// Makes a list of the addresses in the settings.
     pub(crate) fn new(settled: Vec<SocketAddr>) -> Self {
         let known = Arc::new(ArcSwap::from_pointee(settled.clone()));
-        Self { settled: Arc::new(settled), known }
+        Self { settled: Arc::new(ArcSwap::from_pointee(settled)), known }
+    }
+
+    /// Takes over the addresses of changed settings.
+    pub(crate) fn settle(&self, settled: Vec<SocketAddr>) {
+        self.settled.store(Arc::new(settled));
+        self.learn(self.known.load().to_vec());
     }
 
     /// Puts learnt addresses, the best first, before those in the settings.
     pub(crate) fn learn(&self, learnt: Vec<SocketAddr>) {
         let mut known = learnt;
-        for address in self.settled.iter() {
+        for address in self.settled.load().iter() {
             if !known.contains(address) {
                 known.push(*address);
             }
@@ -115,9 +129,10 @@
         // Processes that start together don't all begin with the same address.
         let mut index = rand::rng().random_range(0..MAX_FIRST);
         let mut hinted: Option<SocketAddr> = None;
+        let mut staleness = Staleness::default();
         while actor.connected() {
             let address = hinted.take().unwrap_or_else(|| self.addresses.pick(index));
-            match self.serve(address, &actor).await {
+            match self.serve(address, &actor, &mut staleness).await {
                 Ok(Some(redirect)) => {
                     hinted = redirect.address.parse().ok();
                     failures += u32::from(hinted.is_none());
@@ -143,6 +158,7 @@
         &self,
         address: SocketAddr,
         actor: &Recipient<FromAbove>,
+        staleness: &mut Staleness,
     ) -> Result<Option<Redirect>, LinkError> {
         let connecting = self.endpoint.connect(address, self.role, Protocol::Distribution);
         let mut link = tokio::time::timeout(CONNECT_LIMIT, connecting)
@@ -155,7 +171,7 @@
         let mut reader: Reader<Downward> = Reader::new(receive);
         let first = tokio::select! {
             outcome = write_all(Writer::new(send), queue) => outcome.map(|()| None),
-            outcome = read_all(&mut reader, actor, address) => outcome,
+            outcome = read_all(&mut reader, actor, address, staleness) => outcome,
         };
         self.meter.follow(None);
         actor.do_send(FromAbove::Closed);
@@ -185,10 +201,18 @@
     reader: &mut Reader<Downward>,
     actor: &Recipient<FromAbove>,
     address: SocketAddr,
+    staleness: &mut Staleness,
 ) -> Result<Option<Redirect>, LinkError> {
     let mut opened = false;
+    staleness.begin();
     loop {
-        match reader.receive().await?.body {
+        let received = tokio::time::timeout(SILENCE_LIMIT, reader.receive()).await;
+        let message = received.map_err(|_elapsed| LinkError::Silent)??;
+        match message.body {
+            Some(downward::Body::Beat(beat)) => {
+                actor.do_send(FromAbove::Beat(beat.fresh));
+                staleness.hear(beat.fresh)?;
+            }
             Some(downward::Body::Redirect(redirect)) => return Ok(Some(redirect)),
             Some(body) => {
                 if !opened {
@@ -203,6 +227,38 @@
     }
 }
 
+/// How long the process above has had no word of a current leader.
+#[derive(Debug, Default)]
+struct Staleness {
+    fresh_at: Option<Instant>,
+    /// Links given up in a row for this reason.
+    given_up: u32,
+}
+
+impl Staleness {
+    /// Begins a link.
+    fn begin(&mut self) {
+        self.fresh_at = Some(Instant::now());
+    }
+
+    /// Takes a beat; the link is given up after too many that are not fresh.
+    fn hear(&mut self, fresh: bool) -> Result<(), LinkError> {
+        if fresh {
+            self.fresh_at = Some(Instant::now());
+            self.given_up = 0;
+            return Ok(());
+        }
+        let limit = STALE_LIMIT * (1 << self.given_up.min(MAX_STALE_DOUBLINGS));
+        match self.fresh_at {
+            Some(at) if at.elapsed() > limit => {
+                self.given_up += 1;
+                Err(LinkError::Stale)
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// Returns the delay after a number of failures, in milliseconds.
 fn delay(failures: u32) -> u64 {
     (FIRST_DELAY << failures.min(10)).min(MAX_DELAY)
--- /dev/null
+++ b/crates/traffic/src/mover.rs
@@ -0,0 +1,233 @@
+//! Decides how far a move of traffic to a new target version goes.
+//!
+//! The new version gets a small share first. While calls show nothing against it, its share grows in steps, each held
+//! long enough for evidence to come in. It is taken back as soon as one route fails clearly more often, or takes
+//! clearly longer, than at the old version over the same time, so that trouble of the whole site is not held
+//! against it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kingcuplift_schema::control::EvidenceCount;
+use smol_str::SmolStr;
+
+/// The whole, in thousandths.
+const WHOLE: u16 = 1_000;
+/// First share, in thousandths.
+const FIRST: u16 = 40;
+/// Part of the move's time for which the first share is held.
+const TRIAL_PART: f64 = 0.35;
+/// Later shares, in thousandths, each held for [`STEP_TIME`].
+const STEPS: [u16; 4] = [100, 250, 500, WHOLE];
+/// Time for which each later share is held.
+const STEP_TIME: Duration = Duration::from_millis(1_000);
+/// Time for which the whole share is held, so that calls at the old version end first.
+const LAST_TIME: Duration = Duration::from_millis(2_000);
+/// Answers of the new version that the first step needs.
+const LEAST_ANSWERS: f64 = 20.0;
+/// Time in which evidence loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Failures at which a version can be found bad.
+const LEAST_FAILURES: f64 = 5.0;
+/// Part of failed calls at which a version can be found bad.
+const BAD_PART: f64 = 0.2;
+/// Multiple of the old version's part of failed calls at which the new one is bad.
+const BAD_RATIO: f64 = 4.0;
+/// Classes of time by which a slow answer lies above the old version's middle: about five times as long.
+const SLOW_CLASSES: usize = 4;
+/// Slow answers at which a version can be found bad.
+const LEAST_SLOW: f64 = 8.0;
+/// Failures in a row of looks at which a node stops using the new version by itself.
+const TRIP_FAILURES: f64 = 4.0;
+
+/// Counts of one route at one version; old evidence weighs less.
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    answered: f64,
+    failed: f64,
+    times: Vec<f64>,
+}
+
+impl Counts {
+    fn add(&mut self, count: &EvidenceCount) {
+        self.answered += count.answered as f64;
+        self.failed += count.failed as f64;
+        self.times.resize(self.times.len().max(count.times.len()), 0.0);
+        for (sum, more) in self.times.iter_mut().zip(&count.times) {
+            *sum += *more as f64;
+        }
+    }
+
+    fn fade(&mut self, factor: f64) {
+        self.answered *= factor;
+        self.failed *= factor;
+        self.times.iter_mut().for_each(|time| *time *= factor);
+    }
+
+    fn calls(&self) -> f64 {
+        self.answered + self.failed
+    }
+
+    /// Returns the class in which the middle answer lies.
+    fn median(&self) -> Option<usize> {
+        let half = self.answered / 2.0;
+        let mut sum = 0.0;
+        self.times.iter().position(|count| {
+            sum += count;
+            sum > half
+        })
+    }
+
+    /// Returns the answers in classes from `first` on.
+    fn slower_than(&self, first: usize) -> f64 {
+        self.times.iter().skip(first).sum()
+    }
+}
+
+/// Reason why a version is bad.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fault {
+    /// Route that shows it.
+    pub route: SmolStr,
+    /// Calls that failed or were slow there.
+    pub bad: f64,
+    /// Calls of the route at the new version.
+    pub calls: f64,
+}
+
+/// Evidence on the two versions of one move.
+#[derive(Debug, Clone, Default)]
+pub struct MoveEvidence {
+    routes: HashMap<SmolStr, [Counts; 2]>,
+    faded_ms: u64,
+}
+
+/// Which of the two versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// The version that had the traffic.
+    Old,
+    /// The version that is to get it.
+    New,
+}
+
+impl MoveEvidence {
+    /// Takes the counts of one route at one version.
+    pub fn add(&mut self, side: Side, count: &EvidenceCount, now_ms: u64) {
+        self.fade(now_ms);
+        let sides = self.routes.entry(SmolStr::new(&count.route)).or_default();
+        sides[side as usize].add(count);
+    }
+
+    /// Returns the answers and failures of the new version.
+    pub fn calls_of_new(&self) -> f64 {
+        self.routes.values().map(|sides| sides[Side::New as usize].calls()).sum()
+    }
+
+    /// Returns why the new version is bad, if it is.
+    pub fn fault(&self) -> Option<Fault> {
+        self.routes.iter().find_map(|(route, [old, new])| {
+            let bad = [failures(old, new), slow_answers(old, new)].into_iter().flatten().next()?;
+            Some(Fault { route: route.clone(), bad, calls: new.calls() })
+        })
+    }
+
+    /// Returns whether this node alone has seen enough to stop using the new version.
+    pub fn is_tripped(&self) -> bool {
+        self.routes.values().any(|[old, new]| {
+            new.failed >= TRIP_FAILURES && failing_part(new) > BAD_RATIO * old_part(old)
+                && failing_part(new) >= BAD_PART
+        })
+    }
+
+    fn fade(&mut self, now_ms: u64) {
+        let age = now_ms.saturating_sub(self.faded_ms) as f64 / HALF_LIFE.as_millis() as f64;
+        if age < 0.05 {
+            return;
+        }
+        self.faded_ms = now_ms;
+        let factor = 0.5_f64.powf(age);
+        for sides in self.routes.values_mut() {
+            sides.iter_mut().for_each(|counts| counts.fade(factor));
+        }
+    }
+}
+
+fn failing_part(counts: &Counts) -> f64 {
+    counts.failed / counts.calls().max(1.0)
+}
+
+/// Returns the part of failed calls of the old version, with a failure more than were seen.
+fn old_part(old: &Counts) -> f64 {
+    (old.failed + 1.0) / (old.calls() + 20.0)
+}
+
+/// Returns the failures of the new version if they are clearly too many.
+fn failures(old: &Counts, new: &Counts) -> Option<f64> {
+    let part = failing_part(new);
+    let is_bad =
+        new.failed >= LEAST_FAILURES && part >= BAD_PART && part > BAD_RATIO * old_part(old);
+    is_bad.then_some(new.failed)
+}
+
+/// Returns the slow answers of the new version if they are clearly too many.
+fn slow_answers(old: &Counts, new: &Counts) -> Option<f64> {
+    let first = old.median()? + SLOW_CLASSES;
+    let (slow, slow_before) = (new.slower_than(first), old.slower_than(first));
+    let part = slow / new.answered.max(1.0);
+    let part_before = (slow_before + 1.0) / (old.answered + 20.0);
+    (slow >= LEAST_SLOW && part >= BAD_PART && part > BAD_RATIO * part_before).then_some(slow)
+}
+
+/// How far a move has come, as the leader sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MoveStage {
+    /// Share of the new version, in thousandths.
+    pub moved: u16,
+    /// Time since the share was last changed.
+    pub held: Duration,
+    /// Time since the move was ordered.
+    pub elapsed: Duration,
+    /// Time for the whole move.
+    pub within: Duration,
+    /// Targets of the new version that take calls.
+    pub targets: usize,
+}
+
+/// What is to be done with a move.
+#[derive(Debug, Clone, PartialEq)]
+pub enum MoveStep {
+    /// Nothing now.
+    Wait,
+    /// The new version gets this share, in thousandths.
+    Share(u16),
+    /// The move is done.
+    Done,
+    /// The old version gets all traffic again, for this reason if it is a fault of the new one.
+    TakeBack(Option<Fault>),
+}
+
+/// Decides on the next step of a move.
+pub fn next_step(stage: MoveStage, evidence: &MoveEvidence) -> MoveStep {
+    if let Some(fault) = evidence.fault() {
+        return MoveStep::TakeBack(Some(fault));
+    }
+    let trial = stage.within.mul_f64(TRIAL_PART);
+    let left = stage.within.saturating_sub(stage.elapsed);
+    match stage.moved {
+        WHOLE if stage.held >= LAST_TIME => MoveStep::Done,
+        WHOLE => MoveStep::Wait,
+        _ if stage.targets == 0 && left.is_zero() => MoveStep::TakeBack(None),
+        _ if stage.targets == 0 => MoveStep::Wait,
+        0 => MoveStep::Share(FIRST),
+        FIRST if stage.elapsed < trial => MoveStep::Wait,
+        FIRST if evidence.calls_of_new() < LEAST_ANSWERS && left > stage.within.mul_f64(0.4) => {
+            MoveStep::Wait
+        }
+        _ if stage.moved > FIRST && stage.held < STEP_TIME => MoveStep::Wait,
+        moved => match STEPS.into_iter().find(|step| *step > moved) {
+            Some(step) => MoveStep::Share(step),
+            None => MoveStep::Wait,
+        },
+    }
+}
