--- a/crates/daemon/examples/light_fleet.rs
+++ b/crates/daemon/examples/light_fleet.rs
@@ -14,7 +14,7 @@
 use kingcuplift_core::{NodeName, ServiceName, Version, ZoneName};
 use kingcuplift_daemon::node::{NodeActor, NodeShared};
 use kingcuplift_daemon::relay::RelayActor;
-use kingcuplift_daemon::{Endpoint, LinkMeter};
+use kingcuplift_daemon::{Endpoint, LinkMeter, Security};
 use kingcuplift_keys::Credentials;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -177,11 +177,11 @@
             ));
             fleet.push(light);
         }
-        let credentials = credentials.clone();
+        let security = Security::Keys(credentials.clone());
         let relays = flags.relays;
         arbiters[first / NODES_PER_SOCKET % THREADS].spawn_fn(move || {
             let any = SocketAddr::from(([0, 0, 0, 0], 0));
-            let endpoint = Endpoint::bind(any, &credentials).expect("a socket is free");
+            let endpoint = Endpoint::bind(any, &security).expect("a socket is free");
             for (name, zone, shared, meter, services, to) in group {
                 match relays {
                     true => drop(RelayActor::new(name, zone, endpoint.clone(), to, meter).start()),
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -54,12 +54,15 @@
 
 impl Fanout {
     /// Adds a process and returns its session and the signal that wakes its sender.
+    ///
+    /// `fresh` says whether this process has word of a current leader.
     pub(crate) fn join(
         &mut self,
         name: NodeName,
         zone: ZoneName,
         hello: &Hello,
         feed: &Feed,
+        fresh: bool,
     ) -> (SessionId, Arc<Notify>) {
         let services = hello.services.iter().filter_map(|service| service.parse().ok());
         let subscription = Subscription::new(services);
@@ -82,7 +85,7 @@
             digest: None,
             position: None,
             directory: 0,
-            beat: None,
+            beat: Some(fresh),
             replies: Vec::new(),
             wake: Arc::clone(&wake),
         };
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -11,7 +11,9 @@
 use hyper::body::Incoming;
 use kingcuplift_config::Semantics;
 use kingcuplift_core::{Event, ResultCode, RunState};
-use kingcuplift_traffic::{Candidate, RouteMatch, ServiceView, Serving, TargetKey, View, choose};
+use kingcuplift_traffic::{
+    CallShape, Candidate, RouteMatch, ServiceView, Serving, TargetKey, View, Wanted, choose,
+};
 use smol_str::SmolStr;
 
 use crate::clock::monotonic_ms;
@@ -26,6 +28,8 @@
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::NodeShared;
 
+/// Most that a call's usual time counts for, as a part of the time until its objective.
+const MAX_PART: f64 = 2.0;
 /// Nodes that may refuse one call before it is refused to its caller.
 const MAX_REFUSALS: usize = 3;
 
@@ -182,14 +186,15 @@
         let mut last: Result<Answer, Refusal> = Err(ResultCode::NoTarget.into());
         let mut next = Some(call);
         while let Some(call) = next.take() {
-            let chosen = choose(
-                &self.service.candidates,
-                &self.worker.shared.zone,
-                version.as_ref(),
-                &self.tried,
-                monotonic_ms(),
-                &mut rand::rng(),
-            );
+            let wanted = Wanted {
+                zone: &self.worker.shared.zone,
+                version: version.as_ref(),
+                tried: &self.tried,
+                reserve: &self.service.reserve,
+                shape: self.shape(&call),
+            };
+            let (now, candidates) = (monotonic_ms(), &self.service.candidates);
+            let chosen = choose(candidates, wanted, now, &mut rand::rng());
             let Some(candidate) = chosen else { break };
             self.tried.push(candidate.key.clone());
             let copy = call.copy();
@@ -212,6 +217,18 @@
         last
     }
 
+    /// Returns what is known of the call before it is sent.
+    fn shape(&self, call: &Call) -> CallShape {
+        let left = call.objective.saturating_duration_since(Instant::now());
+        match self.worker.shared.evidence().usual(&call.route) {
+            Some(usual) => {
+                let left = left.as_secs_f64().max(f64::MIN_POSITIVE);
+                CallShape { usual_part: (usual.as_secs_f64() / left).min(MAX_PART) }
+            }
+            None => CallShape::default(),
+        }
+    }
+
     /// Draws the target version of the call.
     fn draw_version(&self) -> Option<&SmolStr> {
         match &self.service.serving {
--- a/crates/daemon/src/node/evidence.rs
+++ b/crates/daemon/src/node/evidence.rs
@@ -40,6 +40,11 @@
         ms / usual.max(0.1)
     }
 
+    /// Returns how long calls of a route usually take at their targets, if any was seen.
+    pub(crate) fn usual(&self, route: &SmolStr) -> Option<Duration> {
+        self.usual_ms.get(route).map(|ms| Duration::from_secs_f32(ms / 1_000.0))
+    }
+
     /// Returns whether this node has seen enough to stop using the new version of a move.
     pub(crate) fn is_tripped(&self, service: &SmolStr, to: &SmolStr) -> bool {
         let seen = self.moves.get(&(service.clone(), to.clone()));
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -98,6 +98,16 @@
         }
     }
 
+    /// Returns the addresses of the source members, to be changed from outside.
+    pub(crate) fn addresses(&self) -> Addresses {
+        self.addresses.clone()
+    }
+
+    /// Returns whether this relay has word of a current leader.
+    fn is_fresh(&self) -> bool {
+        monotonic_ms() < self.fresh_ms + FRESH_LIMIT
+    }
+
     fn send_above(&mut self, body: upward::Body) -> bool {
         let message = Upward { body: Some(body) };
         self.above.as_ref().is_some_and(|above| above.try_send(message).is_ok())
@@ -270,7 +280,7 @@
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(REPORT_INTERVAL, |actor, _| actor.report());
         ctx.run_interval(BEAT_INTERVAL, |actor, _| {
-            let fresh = monotonic_ms() < actor.fresh_ms + FRESH_LIMIT;
+            let fresh = actor.is_fresh();
             actor.fanout.beat_all(fresh);
         });
         if let Some(upstream) = self.upstream.take() {
@@ -321,7 +331,7 @@
         }
 
         let grant = join.grant;
-        let (session, wake) = self.fanout.join(grant.name, grant.zone, &join.hello, &self.feed);
+        let (session, wake) = self.fanout.join(grant.name, grant.zone, &join.hello, &self.feed, self.is_fresh());
         Ok(Joined { session, wake })
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -116,8 +116,11 @@
             endpoint.clone(),
             relay.sources.clone(),
             metrics::control_link(),
-        )
-        .start();
+        );
+        if let Some(source) = &self.source {
+            source.do_send(source::OwnRelay(actor.addresses()));
+        }
+        let actor = actor.start();
         actix::spawn(relay::accept_nodes(endpoint, actor.clone()));
         self.serve(relay::serve_http(relay.http, actor.clone())?);
         self.relay = Some(actor);
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -27,6 +27,7 @@
 use crate::source::members;
 use crate::source::moves::{MOVE_INTERVAL, MoveControl};
 use crate::source::relays::Relays;
+use crate::upstream::Addresses;
 use crate::source::writer::{self, Job, Written};
 
 /// Ticks of the state machine within one election time.
@@ -63,6 +64,8 @@
     writer: Option<Sender<Job>>,
     /// Senders by address.
     dialed: HashMap<String, mpsc::Sender<Box<Peer>>>,
+    /// Addresses that the relay in the same process connects to.
+    own_relay: Option<Addresses>,
     /// This member as others know it.
     pub(crate) own: Voter,
     /// Processes that have offered themselves.
@@ -117,6 +120,7 @@
             store: Some(store),
             writer: None,
             dialed: HashMap::new(),
+            own_relay: None,
             own,
             placement: Placement::default(),
             moves: MoveControl::default(),
@@ -256,6 +260,7 @@
             }
             Notice::DiskRefused { member } => Event::DiskRefused.emit(&[("member", &member)]),
         }
+        self.hint_relay();
     }
 
     pub(crate) fn send(&mut self, to: MemberId, message: Box<Peer>) {
@@ -289,6 +294,18 @@
         listed.or_else(initial)
     }
 
+    /// Returns whether this member leads and no other can have led since.
+    pub(crate) fn is_current(&self) -> bool {
+        matches!(&self.stage, Stage::Member(replica) if replica.is_current(monotonic_ms()))
+    }
+
+    /// Tells the relay in the same process which member leads.
+    fn hint_relay(&self) {
+        let Some(relay) = &self.own_relay else { return };
+        let leader = self.leader_addresses().and_then(|(_, listen)| listen.parse().ok());
+        relay.hint(leader);
+    }
+
     /// Returns the leader's operators' interface and its address for relays.
     pub(crate) fn leader_addresses(&self) -> Option<(String, String)> {
         let Stage::Member(replica) = &self.stage else {
@@ -358,11 +375,11 @@
         ctx.run_interval(EXPIRY_INTERVAL, |actor, _| {
             actor.relays.expire_targets(monotonic_ms());
             actor.publish_places();
+            actor.hint_relay();
             actor.hold_versions();
         });
         ctx.run_interval(BEAT_INTERVAL, |actor, _| {
-            let Stage::Member(replica) = &actor.stage else { return };
-            let fresh = replica.is_current(monotonic_ms());
+            let fresh = actor.is_current();
             actor.relays.fanout.beat_all(fresh);
         });
         ctx.run_interval(MOVE_INTERVAL, |actor, _| actor.tick_moves());
@@ -410,6 +427,20 @@
     }
 }
 
+/// Names the addresses that the relay in the same process connects to.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub(crate) struct OwnRelay(pub(crate) Addresses);
+
+impl Handler<OwnRelay> for SourceActor {
+    type Result = ();
+
+    fn handle(&mut self, relay: OwnRelay, _: &mut Self::Context) {
+        self.own_relay = Some(relay.0);
+        self.hint_relay();
+    }
+}
+
 impl Handler<Written> for SourceActor {
     type Result = ();
 
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -110,8 +110,10 @@
         let grant = join.grant;
         Event::LinkOpened.emit(&[("peer", &grant.name), ("member", &self.name)]);
         self.relays.names.insert(grant.name.clone());
+        let fresh = self.is_current();
+        let feed = self.catalog.feed();
         let (session, wake) =
-            self.relays.fanout.join(grant.name, grant.zone, &join.hello, self.catalog.feed());
+            self.relays.fanout.join(grant.name, grant.zone, &join.hello, feed, fresh);
         Ok(Joined { session, wake })
     }
 }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -12,7 +12,7 @@
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{Downward, Redirect, Upward, downward};
 use rand::Rng;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::link::{Endpoint, LinkError, Reader, Writer};
 
@@ -21,13 +21,13 @@
 /// Longest time before the next connection attempt, in milliseconds.
 const MAX_DELAY: u64 = 3_000;
 /// Longest time for one connection attempt.
-const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+const CONNECT_LIMIT: Duration = Duration::from_millis(700);
 /// Silence after which a link counts as lost; beats come more than three times as often.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
 /// Time without word of a current leader after which another process is tried, at first.
 const STALE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Doublings of that time while no process has word of a leader.
-const MAX_STALE_DOUBLINGS: u32 = 4;
+const MAX_STALE_DOUBLINGS: usize = 4;
 /// Range of the first attempt's place in the list of addresses.
 const MAX_FIRST: usize = 64;
 /// Messages that wait to be sent.
@@ -52,13 +52,44 @@
 pub(crate) struct Addresses {
     settled: Arc<ArcSwap<Vec<SocketAddr>>>,
     known: Arc<ArcSwap<Vec<SocketAddr>>>,
+    /// The one address that is known to be the right one.
+    hint: watch::Sender<Option<SocketAddr>>,
 }
 
 impl Addresses {
     /// Makes a list of the addresses in the settings.
     pub(crate) fn new(settled: Vec<SocketAddr>) -> Self {
         let known = Arc::new(ArcSwap::from_pointee(settled.clone()));
-        Self { settled: Arc::new(ArcSwap::from_pointee(settled)), known }
+        Self {
+            settled: Arc::new(ArcSwap::from_pointee(settled)),
+            known,
+            hint: watch::Sender::new(None),
+        }
+    }
+
+    /// Makes links go to one address as long as that is known to be the right one.
+    pub(crate) fn hint(&self, address: Option<SocketAddr>) {
+        self.hint.send_if_modified(|held| std::mem::replace(held, address) != address);
+    }
+
+    /// Waits until another address than `address` is known to be the right one.
+    async fn contradicted(&self, address: SocketAddr) -> SocketAddr {
+        let mut hints = self.hint.subscribe();
+        loop {
+            let hint = *hints.borrow_and_update();
+            match hint {
+                Some(hint) if hint != address => return hint,
+                _ => {}
+            }
+            if hints.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Returns the number of known addresses.
+    fn len(&self) -> usize {
+        self.known.load().len()
     }
 
     /// Takes over the addresses of changed settings.
@@ -81,7 +112,8 @@
     /// Returns the address for one attempt.
     fn pick(&self, attempt: usize) -> SocketAddr {
         let known = self.known.load();
-        known[attempt % known.len()]
+        let hint = *self.hint.borrow();
+        hint.unwrap_or_else(|| known[attempt % known.len()])
     }
 }
 
@@ -132,7 +164,16 @@
         let mut staleness = Staleness::default();
         while actor.connected() {
             let address = hinted.take().unwrap_or_else(|| self.addresses.pick(index));
-            match self.serve(address, &actor, &mut staleness).await {
+            staleness.relays = self.addresses.len();
+            let served = tokio::select! {
+                served = self.serve(address, &actor, &mut staleness) => served,
+                better = self.addresses.contradicted(address) => {
+                    actor.do_send(FromAbove::Closed);
+                    hinted = Some(better);
+                    continue;
+                }
+            };
+            match served {
                 Ok(Some(redirect)) => {
                     hinted = redirect.address.parse().ok();
                     failures += u32::from(hinted.is_none());
@@ -177,6 +218,7 @@
         actor.do_send(FromAbove::Closed);
         match first {
             Ok(redirect) => Ok(redirect),
+            Err(LinkError::Stale) => Ok(None),
             Err(error) => {
                 Event::LinkClosed.emit(&[("address", &address), ("reason", &error)]);
                 sleep_jittered(FIRST_DELAY).await;
@@ -232,30 +274,37 @@
 struct Staleness {
     fresh_at: Option<Instant>,
     /// Links given up in a row for this reason.
-    given_up: u32,
+    given_up: usize,
+    /// Processes that can serve.
+    relays: usize,
 }
 
 impl Staleness {
     /// Begins a link.
     fn begin(&mut self) {
-        self.fresh_at = Some(Instant::now());
+        self.fresh_at = None;
     }
 
-    /// Takes a beat; the link is given up after too many that are not fresh.
+    /// Takes a beat; a link that is not fresh for too long is given up.
+    ///
+    /// A link that was never fresh is given up at once, until each process has been tried.
     fn hear(&mut self, fresh: bool) -> Result<(), LinkError> {
         if fresh {
             self.fresh_at = Some(Instant::now());
             self.given_up = 0;
             return Ok(());
         }
-        let limit = STALE_LIMIT * (1 << self.given_up.min(MAX_STALE_DOUBLINGS));
-        match self.fresh_at {
-            Some(at) if at.elapsed() > limit => {
-                self.given_up += 1;
-                Err(LinkError::Stale)
-            }
-            _ => Ok(()),
+        let rounds = self.given_up / self.relays.max(1);
+        let limit = match (self.fresh_at, rounds) {
+            (None, 0) => Duration::ZERO,
+            _ => STALE_LIMIT * (1 << rounds.min(MAX_STALE_DOUBLINGS)),
+        };
+        let since = *self.fresh_at.get_or_insert_with(Instant::now);
+        if since.elapsed() >= limit && self.relays > 1 {
+            self.given_up += 1;
+            return Err(LinkError::Stale);
         }
+        Ok(())
     }
 }
 
--- a/crates/quorum/src/trust.rs
+++ b/crates/quorum/src/trust.rs
@@ -1,8 +1,9 @@
 //! Whether a restarted member's disk holds all that it has acknowledged.
 //!
 //! The other members remember which committed entries each disk has stored. A restarted member takes no
-//! part until a leader, or every other voter, has told it what it must hold. When some voter can't be
-//! reached for a while, that voter counts as the fault that the group tolerates, and the member goes on.
+//! part until a leader, or every other voter, has told it what it must hold. When some voters can't be
+//! reached for a while, they count as the fault that the group tolerates, and the member goes on: soon if a
+//! majority has answered, since every leader spreads what it knows to a majority, and later if none has.
 
 use std::collections::BTreeSet;
 
@@ -10,10 +11,13 @@
 use kingcuplift_schema::quorum::{InquiryReply, InquiryRequest, Watermark, peer};
 
 use crate::effect::Millis;
+use crate::membership::Members;
 use crate::replica::Replica;
 
 /// Election times after which a member goes on although some voter has not answered.
 const PATIENCE: u64 = 10;
+/// Election times after which a member goes on although a minority has not answered.
+const MINORITY_PATIENCE: u64 = 1;
 
 /// Trust in the member's own disk.
 #[derive(Debug)]
@@ -24,6 +28,8 @@
     Asking {
         /// When the member goes on without further answers.
         until: Millis,
+        /// When the member goes on if a majority has answered by then.
+        soon: Millis,
         /// When the voters are asked again.
         again: Millis,
         /// Voters that have answered.
@@ -36,7 +42,12 @@
 impl Trust {
     /// Begins to ask.
     pub(crate) fn asking(now: Millis, election: Millis) -> Self {
-        Self::Asking { until: now + PATIENCE * election, again: now, answered: BTreeSet::new() }
+        Self::Asking {
+            until: now + PATIENCE * election,
+            soon: now + MINORITY_PATIENCE * election,
+            again: now,
+            answered: BTreeSet::new(),
+        }
     }
 
     /// Returns whether the member may take part.
@@ -50,8 +61,11 @@
     pub(crate) fn tick_trust(&mut self) {
         let (now, heartbeat) = (self.now, self.timing.heartbeat);
         let others = self.other_voters();
-        let Trust::Asking { until, again, answered } = &mut self.trust else { return };
-        if now >= *until || others.iter().all(|id| answered.contains(id)) {
+        let majority = self.log.membership().majority();
+        let Trust::Asking { until, soon, again, answered } = &mut self.trust else { return };
+        let answers = others.iter().filter(|id| answered.contains(id)).count();
+        let is_enough = answers == others.len() || (now >= *soon && answers + 1 >= majority);
+        if now >= *until || is_enough {
             self.trust = Trust::Proved;
             return;
         }
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -1,8 +1,8 @@
 //! Chooses a target: the one at which a call is expected to cost least.
 //!
-//! The cost counts in service times: waiting for a slot, slowness and failures as seen in answers, and the way to
-//! another availability zone. What a target's node said of its load counts for a short time; calls sent since
-//! are added to it.
+//! The cost is the value that is expected to be lost: the chance that the answer comes after the call's objective,
+//! failures as seen in answers, and the way to another availability zone. What a target's node said of its load
+//! counts for a short time; calls sent since are added to it.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
@@ -13,17 +13,29 @@
 use crate::table::TargetKey;
 
 /// Cost of a call to another availability zone.
-const ZONE_COST: f64 = 0.5;
+const ZONE_COST: f64 = 0.12;
 /// Cost of a target at which every call fails.
-const FAILURE_COST: f64 = 8.0;
-/// Part of the slots in use up to which load costs little.
+const FAILURE_COST: f64 = 2.0;
+/// Cost of a target that is held back while a move tries others of its version under load.
+const RESERVE_COST: f64 = 0.4;
+/// Part of the objective that an answer may take without cost.
+const FREE_PART: f64 = 0.5;
+/// Part of the objective over which the cost of lateness rises from nothing to the whole value.
+const LATE_PART: f64 = 0.7;
+/// Most that lateness costs.
+const MOST_LATENESS: f64 = 1.5;
+/// Cost of an answer that takes the whole objective, by itself: among equals, the faster is better.
+const TIME_COST: f64 = 0.1;
+/// Part of the slots in use above which targets slow down.
 const FREE_LOAD: f64 = 0.7;
-/// Cost of a target whose last slot is in use.
-const FULL_COST: f64 = 0.4;
+/// Additional time at a target whose last slot is in use, as a part of the usual time.
+const FULL_TIME: f64 = 0.4;
+/// Cost of having to wait for a slot, whatever the time.
+const WAIT_COST: f64 = 0.1;
 /// Cost of load by itself, when all slots are in use.
-const LOAD_COST: f64 = 0.2;
+const LOAD_COST: f64 = 0.06;
 /// Largest random part of the cost; it keeps nodes from choosing alike.
-const NOISE: f64 = 0.1;
+const NOISE: f64 = 0.02;
 /// Time for which a reported load counts, in milliseconds.
 const REPORT_LIFE: u64 = 1_000;
 /// Weight of the newest answer in the part of failures and in the slowness.
@@ -46,6 +58,35 @@
     pub limit: u32,
 }
 
+/// What is known of a call before it is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CallShape {
+    /// Time that the call usually takes, as a part of what is left until its objective.
+    pub usual_part: f64,
+}
+
+impl Default for CallShape {
+    /// A call that usually takes a third of its time.
+    fn default() -> Self {
+        Self { usual_part: 1.0 / 3.0 }
+    }
+}
+
+/// Where a call may go.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Availability zone of this node.
+    pub zone: &'a ZoneName,
+    /// Target version; `None` means any.
+    pub version: Option<&'a SmolStr>,
+    /// Targets that have had the call.
+    pub tried: &'a [TargetKey],
+    /// Targets that are held back.
+    pub reserve: &'a [TargetKey],
+    /// What is known of the call.
+    pub shape: CallShape,
+}
+
 /// A target that calls can be sent to, with what this node knows of its load.
 #[derive(Debug)]
 pub struct Candidate {
@@ -174,21 +215,21 @@
         (busy.max(f64::from(own)), f64::from(self.limit.load(Ordering::Relaxed)))
     }
 
-    /// Returns the expected cost of one more call, in service times.
-    pub fn cost(&self, zone: &ZoneName, now_ms: u64) -> f64 {
+    /// Returns the expected cost of one more call, as a part of its value.
+    pub fn cost(&self, zone: &ZoneName, shape: CallShape, now_ms: u64) -> f64 {
         let (busy, limit) = self.load(now_ms);
         let used = busy / limit;
-        let waiting = match used {
-            used if used >= 1.0 => FULL_COST + LOAD_COST + (busy - limit + 1.0) / limit,
-            used => {
-                let above = ((used - FREE_LOAD) / (1.0 - FREE_LOAD)).max(0.0);
-                above * FULL_COST + used * LOAD_COST
-            }
+        let slower = match used {
+            used if used >= 1.0 => FULL_TIME + (busy - limit + 1.0) / limit,
+            used => ((used - FREE_LOAD) / (1.0 - FREE_LOAD)).max(0.0) * FULL_TIME,
         };
         let slowness = f64::from(f32::from_bits(self.slowness.load(Ordering::Relaxed)));
+        let part = shape.usual_part * slowness * (1.0 + slower);
+        let late = ((part - FREE_PART) / LATE_PART).clamp(0.0, MOST_LATENESS);
         let away = if self.zone == *zone { 0.0 } else { ZONE_COST };
         let failures = f64::from(self.failure_part(now_ms)) * FAILURE_COST;
-        slowness * (1.0 + waiting) + away + failures
+        let waiting = if used >= 1.0 { WAIT_COST } else { 0.0 };
+        late + waiting + part.min(MOST_LATENESS) * TIME_COST + used.min(1.0) * LOAD_COST + away + failures
     }
 
     fn is_avoided(&self, now_ms: u64) -> bool {
@@ -196,27 +237,31 @@
     }
 }
 
-/// Chooses among `candidates`, leaving out those whose key is in `tried` and other versions than `version`.
+/// Chooses among `candidates`, leaving out those that have had the call and other versions than the wanted one.
 ///
 /// Targets that are avoided are taken only when no other is left.
 pub fn choose<'a, C: AsRef<Candidate>>(
     candidates: &'a [C],
-    zone: &ZoneName,
-    version: Option<&SmolStr>,
-    tried: &[TargetKey],
+    wanted: Wanted<'_>,
     now_ms: u64,
     rng: &mut impl Rng,
 ) -> Option<&'a C> {
     let mut best: Option<(bool, f64, &C)> = None;
     for held in candidates {
         let candidate = held.as_ref();
-        let is_wanted = version.is_none_or(|version| *version == candidate.key.version);
-        if !is_wanted || tried.contains(&candidate.key) {
+        let is_wanted = wanted.version.is_none_or(|version| *version == candidate.key.version);
+        if !is_wanted || wanted.tried.contains(&candidate.key) {
             continue;
         }
         let avoided = candidate.is_avoided(now_ms);
-        let cost = candidate.cost(zone, now_ms) + rng.random::<f64>() * NOISE;
-        let better = best.is_none_or(|(was_avoided, least, _)| (avoided, cost) < (was_avoided, least));
+        let reserve = match wanted.reserve.contains(&candidate.key) {
+            true => RESERVE_COST,
+            false => 0.0,
+        };
+        let noise = rng.random::<f64>() * NOISE;
+        let cost = candidate.cost(wanted.zone, wanted.shape, now_ms) + reserve + noise;
+        let better =
+            best.is_none_or(|(was_avoided, least, _)| (avoided, cost) < (was_avoided, least));
         if better {
             best = Some((avoided, cost, held));
         }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -16,7 +16,7 @@
 mod view;
 
 pub use admission::{Admission, CallId, CallTimes, Decision, Limits, Release};
-pub use choice::{Candidate, LoadReport, choose};
+pub use choice::{CallShape, Candidate, LoadReport, Wanted, choose};
 pub use concurrency::{ConcurrencyLimit, Response};
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
--- a/crates/traffic/src/mover.rs
+++ b/crates/traffic/src/mover.rs
@@ -20,9 +20,11 @@
 /// Later shares, in thousandths, each held for [`STEP_TIME`].
 const STEPS: [u16; 4] = [100, 250, 500, WHOLE];
 /// Time for which each later share is held.
-const STEP_TIME: Duration = Duration::from_millis(1_000);
-/// Time for which the whole share is held, so that calls at the old version end first.
+const STEP_TIME: Duration = Duration::from_millis(1_200);
+/// Time for which the whole share is held at least, so that calls at the old version end first.
 const LAST_TIME: Duration = Duration::from_millis(2_000);
+/// Part of the move's time after which it is done; until then the new version can be taken back.
+const DONE_PART: f64 = 0.85;
 /// Answers of the new version that the first step needs.
 const LEAST_ANSWERS: f64 = 20.0;
 /// Time in which evidence loses half of its weight.
@@ -213,9 +215,10 @@
         return MoveStep::TakeBack(Some(fault));
     }
     let trial = stage.within.mul_f64(TRIAL_PART);
+    let done = stage.within.mul_f64(DONE_PART);
     let left = stage.within.saturating_sub(stage.elapsed);
     match stage.moved {
-        WHOLE if stage.held >= LAST_TIME => MoveStep::Done,
+        WHOLE if stage.held >= LAST_TIME && stage.elapsed >= done => MoveStep::Done,
         WHOLE => MoveStep::Wait,
         _ if stage.targets == 0 && left.is_zero() => MoveStep::TakeBack(None),
         _ if stage.targets == 0 => MoveStep::Wait,
--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -19,6 +19,9 @@
 use crate::router::Router;
 use crate::table::{TargetKey, TargetTable};
 
+/// Load of a target of a new version during a move, as a multiple of that after the move.
+const TRIAL_LOAD: f64 = 1.4;
+
 /// A service as calls see it.
 #[derive(Debug)]
 pub struct ServiceView {
@@ -28,6 +31,8 @@
     pub candidates: Vec<Arc<Candidate>>,
     /// Target versions that take the calls.
     pub serving: Serving,
+    /// Targets of a new version that are held back, so that the others show how they bear full load.
+    pub reserve: Vec<TargetKey>,
 }
 
 /// Target versions that take the calls of a service.
@@ -149,12 +154,13 @@
         let before = self.services.get(name).cloned();
         let known = before.as_ref().map(|view| view.candidates.as_slice()).unwrap_or_default();
         let serving = serving(document, &key);
-        let candidates = table
+        let candidates: Vec<Arc<Candidate>> = table
             .of_service(name)
             .filter(|(_, target)| takes_calls(document, target, &serving))
             .filter_map(|(key, target)| candidate(known, key, target))
             .collect();
-        let view = ServiceView { spec: spec.clone(), candidates, serving };
+        let reserve = reserve(&candidates, &serving);
+        let view = ServiceView { spec: spec.clone(), candidates, serving, reserve };
         self.services.insert(name.clone(), Arc::new(view));
     }
 }
@@ -229,6 +235,21 @@
         && serving.takes(&target.version)
 }
 
+/// Returns the targets of a new version that are held back.
+///
+/// A small share of the calls goes to so few targets that each has more load than it will have in the end.
+fn reserve(candidates: &[Arc<Candidate>], serving: &Serving) -> Vec<TargetKey> {
+    let Serving::Split { to, moved, .. } = serving else { return Vec::new() };
+    let new = candidates.iter().filter(|candidate| candidate.key.version == *to);
+    let keys: Vec<TargetKey> = new.map(|candidate| candidate.key.clone()).collect();
+    let part = f64::from(*moved) / 1_000.0 / TRIAL_LOAD;
+    let used = match *moved {
+        1_000.. => keys.len(),
+        _ => ((keys.len() as f64 * part).floor() as usize).max(1),
+    };
+    keys.into_iter().skip(used).collect()
+}
+
 /// Returns the candidate of a target, keeping what is known of its load.
 fn candidate(known: &[Arc<Candidate>], key: &TargetKey, target: &Target) -> Option<Arc<Candidate>> {
     let same = |held: &&Arc<Candidate>| {
--- a/crates/traffic/tests/target_choice.rs
+++ b/crates/traffic/tests/target_choice.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use kingcuplift_traffic::{Candidate, TargetKey, choose};
+use kingcuplift_traffic::{CallShape, Candidate, TargetKey, Wanted, choose};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -23,7 +23,9 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut counts = vec![0; candidates.len()];
     for _ in 0..DRAWS {
-        let Some(chosen) = choose(candidates, &zone, tried, now_ms, &mut rng) else { continue };
+        let shape = CallShape::default();
+        let wanted = Wanted { zone: &zone, version: None, tried, reserve: &[], shape };
+        let Some(chosen) = choose(candidates, wanted, now_ms, &mut rng) else { continue };
         let at = candidates.iter().position(|c| c.key == chosen.key).expect("a candidate");
         counts[at] += 1;
     }
