--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -70,6 +70,7 @@
     let (parts, incoming) = request.into_parts();
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
+    worker.shared.check_stop(began + time)?;
     let body = match Body::read(incoming, view.limits().body.get()).await {
         Ok(body) => body,
         Err(BodyError::Broken(_)) => return Err(ResultCode::CallMalformed.into()),
@@ -309,8 +310,8 @@
         if !failed && let Some(service) = outcome.service {
             candidate.time(evidence.time(route, service));
         }
-        let was_shed = matches!(&outcome.result, Err(r) if r.code == ResultCode::TargetShed);
-        if let (Serving::Split { to, .. }, false) = (&self.service.serving, was_shed) {
+        // A lost answer speaks of the target, not of its version.
+        if let (Serving::Split { to, .. }, Ok(_)) = (&self.service.serving, &outcome.result) {
             evidence.count(&candidate.key, to, route, failed, service);
         }
     }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -97,6 +97,9 @@
 }
 
 async fn admit(worker: &Worker, key: &TargetKey, local: &LocalTarget, call: Call) -> Outcome {
+    if let Err(refusal) = worker.shared.check_stop(call.deadline) {
+        return refusal.into();
+    }
     let objective = call.objective.saturating_duration_since(Instant::now());
     let permit = match local.gate.enter(call.rank, call.time_left(), objective).await {
         Ok(permit) => permit,
--- a/crates/daemon/src/node/server.rs
+++ b/crates/daemon/src/node/server.rs
@@ -84,20 +84,15 @@
     }));
 }
 
-/// Takes connections until the node has stopped.
+/// Takes connections as long as the process is there.
 async fn accept<H, F>(listener: TcpListener, worker: Worker, handler: H)
 where
     H: Fn(Worker, Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let handler = Rc::new(handler);
-    let mut closing = worker.shared.closing();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stopped(&mut closing) => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 let (worker, handler) = (worker.clone(), Rc::clone(&handler));
                 tokio::task::spawn_local(serve(stream, worker, handler));
@@ -116,7 +111,6 @@
     H: Fn(Worker, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let open = worker.shared.open_connection();
     if let Err(error) = prepare(&stream) {
         return log::debug!("a connection ended at once: {error}");
     }
@@ -146,7 +140,6 @@
     if let Err(error) = ended {
         log::trace!("a connection ended: {error}");
     }
-    drop(open);
 }
 
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -3,19 +3,23 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
 
 use actix::Recipient;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use kingcuplift_core::{NodeName, ServiceName, Version, ZoneName};
+use kingcuplift_core::{NodeName, ResultCode, ServiceName, Version, ZoneName};
 use kingcuplift_traffic::{RepeatBudget, RepeatLimits, TargetKey, View};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use crate::node::control::TargetDown;
 use crate::node::evidence::EvidenceTable;
+use crate::node::forward::Refusal;
 use crate::node::gate::Gate;
 use crate::node::headers::HeaderNames;
 
+/// Time after which a stopped process is usually there again.
+const RESTART_TIME: Duration = Duration::from_millis(600);
 /// Shortest time between two logged refusals of calls, in milliseconds.
 const REFUSAL_LOG_INTERVAL: u64 = 1_000;
 
@@ -49,9 +53,10 @@
     /// Nodes with a target, this one included.
     pub(crate) nodes: AtomicUsize,
     is_draining: AtomicBool,
+    /// When the process ends, once it has been told to.
+    stop_at: ArcSwapOption<Instant>,
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
-    connections: Arc<AtomicUsize>,
     /// Time after which the next refused call is logged, in milliseconds.
     refusal_log_at: AtomicU64,
 }
@@ -71,9 +76,9 @@
             control: OnceLock::new(),
             nodes: AtomicUsize::new(1),
             is_draining: AtomicBool::new(false),
+            stop_at: ArcSwapOption::empty(),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
-            connections: Arc::default(),
             refusal_log_at: AtomicU64::new(0),
         }
     }
@@ -107,16 +112,24 @@
         self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Says on the readiness address that callers should go elsewhere; calls are still served.
-    pub(crate) fn begin_stop(&self) {
+    /// Says on the readiness address that callers should go elsewhere; calls that end by `until` are still served.
+    pub(crate) fn begin_stop(&self, until: Instant) {
+        self.stop_at.store(Some(Arc::new(until)));
         self.is_draining.store(true, Ordering::Release);
     }
 
-    /// Refuses calls from other nodes and ends each connection with its next answer.
-    pub(crate) fn close(&self) {
-        for local in self.locals.load().values() {
-            local.gate.close();
+    /// Refuses a call that may take longer than the process is there.
+    pub(crate) fn check_stop(&self, deadline: Instant) -> Result<(), Refusal> {
+        match self.stop_at.load().as_deref() {
+            Some(until) if deadline > *until => {
+                Err(Refusal { code: ResultCode::Draining, room: Some(RESTART_TIME) })
+            }
+            _ => Ok(()),
         }
+    }
+
+    /// Ends each connection with its next answer.
+    pub(crate) fn close(&self) {
         self.closing.send_replace(true);
     }
 
@@ -129,17 +142,6 @@
         self.closing.subscribe()
     }
 
-    /// Counts a connection until the guard is dropped.
-    pub(crate) fn open_connection(&self) -> ConnectionGuard {
-        self.connections.fetch_add(1, Ordering::AcqRel);
-        ConnectionGuard(Arc::clone(&self.connections))
-    }
-
-    /// Returns the number of open connections of callers and other nodes.
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.load(Ordering::Acquire)
-    }
-
     /// Returns the number of calls that this node is working on.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
@@ -160,16 +162,6 @@
     }
 }
 
-/// Counts one open connection.
-#[derive(Debug)]
-pub(crate) struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Counts one call in flight.
 #[derive(Debug)]
 pub(crate) struct CallGuard(Arc<NodeShared>);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,9 +20,9 @@
 use crate::relay::{self, RelayActor};
 use crate::source::{self, HandOver, SourceActor};
 
-/// Time for which callers hear of a stop before connections are refused.
-const CALLER_NOTICE: Duration = Duration::from_millis(2_200);
-/// Time for which other nodes hear of a stop before connections are refused.
+/// Part of a stop's time in which callers hear of it before other nodes do.
+const CALLER_NOTICE: f64 = 0.7;
+/// Time for which other nodes hear of a stop before connections end.
 const NODE_NOTICE: Duration = Duration::from_millis(350);
 /// Time between looks at the settings file.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
@@ -188,20 +188,22 @@
 }
 
 impl RunningNode {
-    /// Sends callers elsewhere while all is still served, then takes nothing new, then waits for what is in flight.
+    /// Sends callers elsewhere, serves what ends in time, then waits for what is in flight.
     async fn stop(&self) {
         let until = Instant::now() + self.stop;
-        self.shared.begin_stop();
-        tokio::time::sleep(CALLER_NOTICE.min(self.stop / 3)).await;
+        self.shared.begin_stop(until);
+        tokio::time::sleep(self.stop.mul_f64(CALLER_NOTICE)).await;
         if self.actor.send(node::Drain).await.is_err() {
             log::warn!("the node's actor ended before the stop");
         }
         tokio::time::sleep(NODE_NOTICE.min(self.stop / 10)).await;
         self.shared.close();
         Event::CallsDraining.emit(&[("calls", &self.shared.in_flight())]);
-        while self.shared.connections() > 0 && Instant::now() < until {
+        while self.shared.in_flight() > 0 && Instant::now() < until {
             tokio::time::sleep(DRAIN_POLL).await;
         }
+        // Connections write what is left of their last answers.
+        tokio::time::sleep(DRAIN_POLL).await;
     }
 }
 
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -10,6 +10,8 @@
 const FAIRNESS_INTERVAL: u64 = 16;
 /// Part of the slots that counts for a cold target whose service time is unknown: one in this many.
 const COLD_DIVISOR: u32 = 4;
+/// Calls that may wait although they have missed their objective: one for this many slots.
+const LATE_DIVISOR: u32 = 2;
 /// Calls to a cold target that may run at once after a pause.
 const PACE_RESERVE: u64 = 2;
 /// Microseconds in a second.
@@ -224,6 +226,9 @@
             () if now_us + self.expected_wait(rank, now_us) >= times.deadline_us => {
                 return Decision::Refuse(ResultCode::DeadlineBefore);
             }
+            () if self.is_hopeless(rank, times, now_us) => {
+                return Decision::Refuse(ResultCode::Overloaded);
+            }
             () => {}
         }
         let is_full = self.waiting.len() >= self.limits.queue as usize;
@@ -243,6 +248,20 @@
         Decision::Wait { displaced: displaced.map(|(_, id)| id) }
     }
 
+    /// Returns whether a call would miss its objective while enough others wait that have missed theirs.
+    fn is_hopeless(&self, rank: Rank, times: CallTimes, now_us: u64) -> bool {
+        let answered_us = now_us + self.expected_wait(rank, now_us) + self.service_us;
+        let late = self.waiting.keys().filter(|(_, is_late, _)| *is_late).count();
+        let has_objective = times.objective_us < times.deadline_us;
+        let most = (self.limits.slots / LATE_DIVISOR).max(1) as usize;
+        has_objective && answered_us >= times.objective_us && (late >= most || self.is_deep())
+    }
+
+    /// Returns whether more calls wait than run.
+    fn is_deep(&self) -> bool {
+        self.waiting.len() >= self.limits.slots.max(1) as usize
+    }
+
     /// Counts a call that begins to run.
     fn begin(&mut self, now_us: u64) {
         self.running += 1;
--- a/crates/traffic/src/mover.rs
+++ b/crates/traffic/src/mover.rs
@@ -29,18 +29,18 @@
 const LEAST_ANSWERS: f64 = 20.0;
 /// Time in which evidence loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(3);
-/// Failures at which a version can be found bad.
-const LEAST_FAILURES: f64 = 5.0;
-/// Part of failed calls at which a version can be found bad.
-const BAD_PART: f64 = 0.2;
-/// Multiple of the old version's part of failed calls at which the new one is bad.
-const BAD_RATIO: f64 = 4.0;
+/// Bad calls beyond those that chance explains at which a version is bad.
+const EXCESS: f64 = 3.0;
+/// Standard deviations of the number of bad calls that chance explains.
+const DEVIATIONS: f64 = 4.0;
+/// Multiple of the old version's part of bad calls that the new one may have.
+const PART_RATIO: f64 = 1.5;
+/// Least part of bad calls that the new version may have.
+const LEAST_PART: f64 = 0.01;
 /// Classes of time by which a slow answer lies above the old version's middle: about five times as long.
 const SLOW_CLASSES: usize = 4;
-/// Slow answers at which a version can be found bad.
-const LEAST_SLOW: f64 = 8.0;
-/// Failures in a row of looks at which a node stops using the new version by itself.
-const TRIP_FAILURES: f64 = 4.0;
+/// Part of failed calls at which a node alone stops using the new version.
+const TRIP_PART: f64 = 0.25;
 
 /// Counts of one route at one version; old evidence weighs less.
 #[derive(Debug, Clone, Default)]
@@ -137,8 +137,7 @@
     /// Returns whether this node alone has seen enough to stop using the new version.
     pub fn is_tripped(&self) -> bool {
         self.routes.values().any(|[old, new]| {
-            new.failed >= TRIP_FAILURES && failing_part(new) > BAD_RATIO * old_part(old)
-                && failing_part(new) >= BAD_PART
+            new.failed >= TRIP_PART * new.calls() && failures(old, new).is_some()
         })
     }
 
@@ -155,20 +154,17 @@
     }
 }
 
-fn failing_part(counts: &Counts) -> f64 {
-    counts.failed / counts.calls().max(1.0)
-}
-
-/// Returns the part of failed calls of the old version, with a failure more than were seen.
-fn old_part(old: &Counts) -> f64 {
-    (old.failed + 1.0) / (old.calls() + 20.0)
+/// Returns whether `bad` of `calls` calls are clearly more than the old version's part explains.
+fn is_excessive(bad: f64, calls: f64, bad_before: f64, calls_before: f64) -> bool {
+    // One bad call more than were seen: a part of nothing proves little while calls are few.
+    let part = (bad_before + 1.0) / (calls_before + 20.0);
+    let expected = calls * (part * PART_RATIO).max(LEAST_PART);
+    bad > expected + DEVIATIONS * expected.sqrt() + EXCESS
 }
 
 /// Returns the failures of the new version if they are clearly too many.
 fn failures(old: &Counts, new: &Counts) -> Option<f64> {
-    let part = failing_part(new);
-    let is_bad =
-        new.failed >= LEAST_FAILURES && part >= BAD_PART && part > BAD_RATIO * old_part(old);
+    let is_bad = is_excessive(new.failed, new.calls(), old.failed, old.calls());
     is_bad.then_some(new.failed)
 }
 
@@ -176,9 +172,7 @@
 fn slow_answers(old: &Counts, new: &Counts) -> Option<f64> {
     let first = old.median()? + SLOW_CLASSES;
     let (slow, slow_before) = (new.slower_than(first), old.slower_than(first));
-    let part = slow / new.answered.max(1.0);
-    let part_before = (slow_before + 1.0) / (old.answered + 20.0);
-    (slow >= LEAST_SLOW && part >= BAD_PART && part > BAD_RATIO * part_before).then_some(slow)
+    is_excessive(slow, new.answered, slow_before, old.answered).then_some(slow)
 }
 
 /// How far a move has come, as the leader sees it.
