--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,9 +4,6 @@
 
 use kingcuplift_daemon::cli::Arguments;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     match kingcuplift_daemon::run(&arguments) {
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -30,6 +30,8 @@
 
 /// Most that a call's usual time counts for, as a part of the time until its objective.
 const MAX_PART: f64 = 2.0;
+/// Calls that a node works on at a time; each takes some tens of KiB, with its connections.
+const MAX_IN_FLIGHT: usize = 600;
 /// Nodes that may refuse one call before it is refused to its caller.
 const MAX_REFUSALS: usize = 3;
 
@@ -66,6 +68,9 @@
     request: Request<Incoming>,
     began: Instant,
 ) -> Result<Answer, Refusal> {
+    if worker.shared.in_flight() > MAX_IN_FLIGHT {
+        return Err(ResultCode::Overloaded.into());
+    }
     let view = worker.shared.view.load_full().ok_or(ResultCode::NodeNotReady)?;
     let (parts, incoming) = request.into_parts();
     let route = find_route(&parts, &view)?;
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -14,6 +14,11 @@
 use crate::clock::monotonic_us;
 use crate::node::forward::Refusal;
 
+/// Weight of the newest answer in a route's usual time: one in this many.
+const USUAL_DIVISOR: u64 = 16;
+/// Routes whose usual time is remembered.
+const MAX_ROUTES: usize = 1_024;
+
 /// Answer to a waiting call.
 type Verdict = Result<(), ResultCode>;
 
@@ -42,6 +47,8 @@
     queue: u32,
     waiters: HashMap<CallId, oneshot::Sender<Verdict>>,
     next: CallId,
+    /// Usual times of routes at this target, in microseconds.
+    usual_us: HashMap<SmolStr, u64>,
     /// Whether a task waits for the rate of a cold target.
     is_pacing: bool,
 }
@@ -100,6 +107,7 @@
             queue: limits.queue,
             waiters: HashMap::new(),
             next: 0,
+            usual_us: HashMap::new(),
             is_pacing: false,
         };
         Self { state: Mutex::new(state) }
@@ -160,11 +168,12 @@
     /// Waits for a slot until the call's time is up.
     pub(crate) async fn enter(
         self: &Arc<Self>,
+        route: &SmolStr,
         rank: Rank,
         time: Duration,
         objective: Duration,
     ) -> Result<Permit, Refusal> {
-        let Some(mut place) = self.arrive(rank, time, objective)? else {
+        let Some(mut place) = self.arrive(route, rank, time, objective)? else {
             return Ok(self.permit());
         };
         let verdict = tokio::time::timeout(time, &mut place.verdict).await;
@@ -180,16 +189,18 @@
     /// Takes a slot at once (`None`) or a place in the queue.
     fn arrive(
         self: &Arc<Self>,
+        route: &SmolStr,
         rank: Rank,
         time: Duration,
         objective: Duration,
     ) -> Result<Option<Place>, Refusal> {
         let now = monotonic_us();
+        let mut state = self.lock();
         let times = CallTimes {
             objective_us: now + objective.as_micros() as u64,
             deadline_us: now + time.as_micros() as u64,
+            service_us: state.usual_us.get(route).copied().unwrap_or(0),
         };
-        let mut state = self.lock();
         state.next += 1;
         let id = state.next;
         match state.admission.arrive_by(id, rank, times, now) {
@@ -224,6 +235,9 @@
         let (time_us, now_us) = (service.as_micros() as u64, monotonic_us());
         let mut state = self.lock();
         let running = state.admission.running();
+        if let Some((route, Response::Answered)) = &learnt {
+            state.learn_usual(route, time_us);
+        }
         if let (Bearing::Learnt(limit), Some((route, response))) = (&mut state.bearing, learnt) {
             limit.record(&route, response, time_us, running, now_us);
             state.follow_bearing();
@@ -266,6 +280,15 @@
 }
 
 impl State {
+    /// Learns how long calls of a route take here.
+    fn learn_usual(&mut self, route: &SmolStr, time_us: u64) {
+        if self.usual_us.len() >= MAX_ROUTES {
+            self.usual_us.clear();
+        }
+        let usual = self.usual_us.entry(route.clone()).or_insert(time_us);
+        *usual = (*usual * (USUAL_DIVISOR - 1) + time_us) / USUAL_DIVISOR;
+    }
+
     /// Makes admission follow what the target bears.
     fn follow_bearing(&mut self) {
         let limits = Limits { slots: self.bearing.limit(), queue: self.queue };
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -101,7 +101,7 @@
         return refusal.into();
     }
     let objective = call.objective.saturating_duration_since(Instant::now());
-    let permit = match local.gate.enter(call.rank, call.time_left(), objective).await {
+    let permit = match local.gate.enter(&call.route, call.rank, call.time_left(), objective).await {
         Ok(permit) => permit,
         Err(refusal) => {
             return Outcome { result: Err(refusal), load: Some(local.gate.load()), service: None };
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -128,8 +128,9 @@
         }
     }
 
-    /// Ends each connection with its next answer.
+    /// Takes no call from now on, and ends each connection with its next answer.
     pub(crate) fn close(&self) {
+        self.stop_at.store(Some(Arc::new(Instant::now())));
         self.closing.send_replace(true);
     }
 
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -61,12 +61,14 @@
     pub objective_us: u64,
     /// Time up to which an answer has any value.
     pub deadline_us: u64,
+    /// Time that the target is expected to take; 0 when nothing is known of such calls.
+    pub service_us: u64,
 }
 
 impl CallTimes {
     /// Makes times without an objective of their own.
     pub fn until(deadline_us: u64) -> Self {
-        Self { objective_us: deadline_us, deadline_us }
+        Self { objective_us: deadline_us, deadline_us, service_us: 0 }
     }
 }
 
@@ -244,13 +246,22 @@
 
     /// Returns whether a call would miss its objective while enough others wait that have missed theirs.
     fn is_hopeless(&self, rank: Rank, times: CallTimes, now_us: u64) -> bool {
-        let answered_us = now_us + self.expected_wait(rank, now_us) + self.service_us;
+        let service_us = self.expected_service(times);
+        let answered_us = now_us + self.expected_wait(rank, now_us) + service_us;
         let late = self.waiting.keys().filter(|(_, is_late, _)| *is_late).count();
         let has_objective = times.objective_us < times.deadline_us;
         let most = (self.limits.slots / LATE_DIVISOR).max(1) as usize;
         has_objective && answered_us >= times.objective_us && (late >= most || self.is_deep())
     }
 
+    /// Returns the time that the target is expected to take for a call.
+    fn expected_service(&self, times: CallTimes) -> u64 {
+        match times.service_us {
+            0 => self.service_us,
+            service_us => service_us,
+        }
+    }
+
     /// Returns whether more calls wait than run.
     fn is_deep(&self) -> bool {
         self.waiting.len() >= self.limits.slots.max(1) as usize
@@ -281,7 +292,7 @@
             let Some(place) = self.next_place() else { break };
             let Some(call) = self.waiting.remove(&place) else { break };
             self.places.remove(&call.id);
-            let answered_us = now_us + self.service_us;
+            let answered_us = now_us + self.expected_service(call.times);
             let (rank, is_late, arrival) = place;
             match () {
                 () if answered_us >= call.times.deadline_us => {
