--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -225,7 +225,8 @@
         }
         let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
         let staged = patch.stage(self.feed.document(), head.next()).map_err(Outcome::refused)?;
-        self.check_base(base, &staged)?;
+        let is_concerned = |key: &ResourceKey| submission.revision == 0 || key.kind.is_replaced();
+        self.check_base(base, &staged, is_concerned)?;
         Ok(staged)
     }
 
@@ -246,14 +247,20 @@
         }
     }
 
-    /// Checks that nothing that the patch touches or refers to has changed since its base.
-    fn check_base(&self, base: Version, staged: &Staged) -> Result<(), Outcome> {
+    /// Checks that nothing concerned that the patch touches or refers to has changed since its base.
+    fn check_base(
+        &self,
+        base: Version,
+        staged: &Staged,
+        is_concerned: impl Fn(&ResourceKey) -> bool,
+    ) -> Result<(), Outcome> {
         if base == self.head() {
             return Ok(());
         }
         let mut faults = Faults::default();
         for info in self.versions_after(base) {
-            for key in info.prior.keys().filter(|key| touches(staged, key)) {
+            let changed = info.prior.keys().filter(|key| is_concerned(key));
+            for key in changed.filter(|key| touches(staged, key)) {
                 let detail = format!("{key} changed in version {}", info.version);
                 faults.push(ResultCode::BaseConflict, key.to_string(), detail);
             }
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -72,6 +72,11 @@
     pub const ALL: [Self; 6] =
         [Self::Services, Self::Routes, Self::Priorities, Self::Moves, Self::Zones, Self::Limits];
 
+    /// Returns whether a whole configuration replaces all resources of the kind.
+    pub const fn is_replaced(self) -> bool {
+        matches!(self, Self::Services | Self::Routes | Self::Limits)
+    }
+
     /// Returns the name used in documents.
     pub const fn as_str(self) -> &'static str {
         match self {
--- /dev/null
+++ b/crates/config/tests/whole_revisions.rs
@@ -0,0 +1,205 @@
+//! Whole configurations: they replace exactly what they should, by compare-and-set on the operators' number.
+
+use kingcuplift_config::{Catalog, Outcome, Revision, RevisionBody, Submission};
+use kingcuplift_core::ResultCode;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use serde_json::{Map, Value, json};
+
+/// Seed of the random configurations.
+const SEED: u64 = 20_261_204;
+
+fn service(warmup: u64) -> Value {
+    json!({ "health": "/health", "connections": 120, "protocol": "h1", "tls": false,
+        "warmup_s": warmup, "warmup_rate": 47.0 })
+}
+
+fn route(prefix: &str, service: &str) -> Value {
+    json!({ "host": "a.example", "prefix": prefix, "semantics": "idempotent", "timeout_ms": 1200,
+        "objective_ms": 200, "rank": 2, "attempts": 2, "service": service })
+}
+
+fn whole(number: u64, routes: Value) -> Value {
+    json!({ "version": number, "services": { "desk": service(3), "roster": service(4) },
+        "routes": routes, "limits": { "header_bytes": 16_384, "idle_ms": 15_000 } })
+}
+
+fn first_routes() -> Value {
+    json!({ "r-1": route("/a/", "desk"), "r-2": route("/b/", "roster") })
+}
+
+fn submission(catalog: &Catalog, after: u64, text: &str) -> Submission {
+    let body = RevisionBody::parse(text.as_bytes()).expect("a readable configuration");
+    let document = catalog.feed().document();
+    body.submission(after, text.as_bytes(), catalog.revision(), document)
+}
+
+fn put(catalog: &mut Catalog, after: u64, document: &Value) -> Outcome {
+    let submission = submission(catalog, after, &document.to_string());
+    catalog.apply(&submission)
+}
+
+fn read_back(catalog: &Catalog) -> Value {
+    let text = catalog.revision().to_json(catalog.feed().document());
+    serde_json::from_str(&text).expect("JSON")
+}
+
+fn code(outcome: &Outcome) -> Option<ResultCode> {
+    match outcome {
+        Outcome::Accepted(_) => None,
+        Outcome::Refused { code, .. } => Some(*code),
+    }
+}
+
+#[test]
+fn reads_back_as_sent() {
+    let mut catalog = Catalog::default();
+    let first = whole(4, first_routes());
+    assert_eq!(code(&put(&mut catalog, 0, &first)), None);
+    assert_eq!(read_back(&catalog), first);
+    let second = whole(9, json!({ "r-3": route("/c/", "desk") }));
+    assert_eq!(code(&put(&mut catalog, 4, &second)), None);
+    assert_eq!(read_back(&catalog), second, "routes that are not named are gone");
+    let restored = Catalog::decode(&catalog.encode()).expect("the state is sound");
+    assert_eq!(read_back(&restored), second);
+}
+
+#[test]
+fn one_of_two_wins() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, 0, &whole(4, first_routes()));
+    let left = submission(&catalog, 4, &whole(5, json!({})).to_string());
+    let right =
+        submission(&catalog, 4, &whole(5, json!({ "r-9": route("/z/", "desk") })).to_string());
+    assert_eq!(code(&catalog.apply(&left)), None);
+    assert_eq!(code(&catalog.apply(&right)), Some(ResultCode::RevisionConflict));
+    assert_eq!(read_back(&catalog)["routes"], json!({}), "nothing of the loser is kept");
+}
+
+#[test]
+fn resend_gets_first_answer() {
+    let mut catalog = Catalog::default();
+    let first = whole(4, first_routes());
+    let outcome = put(&mut catalog, 0, &first);
+    put(&mut catalog, 4, &whole(5, json!({})));
+    assert_eq!(put(&mut catalog, 0, &first), outcome, "also after a later one");
+    assert_eq!(catalog.revision().number, 5);
+}
+
+#[test]
+fn number_must_rise() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, 0, &whole(4, first_routes()));
+    for number in [3, 4] {
+        let outcome = put(&mut catalog, 4, &whole(number, json!({})));
+        assert_eq!(code(&outcome), Some(ResultCode::RevisionStale), "{number}");
+    }
+}
+
+#[test]
+fn zones_and_moves_stay() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, 0, &whole(4, first_routes()));
+    let patch = json!({ "zones": { "a": { "state": "out" } },
+        "moves": { "desk": { "service": "desk", "to": "v1", "state": "done" },
+            "roster": { "service": "roster", "to": "v1", "state": "done" } } });
+    let own = Submission {
+        operation: "own".to_owned(),
+        at_head: true,
+        patch: patch.to_string(),
+        ..Submission::default()
+    };
+    assert_eq!(code(&catalog.apply(&own)), None);
+    let mut second = whole(5, json!({ "r-1": route("/a/", "desk") }));
+    second["services"] = json!({ "desk": service(3) });
+    assert_eq!(code(&put(&mut catalog, 4, &second)), None, "a move goes with its service");
+    let document = catalog.feed().document().to_json();
+    assert_eq!(document["zones"]["a"]["state"], "out");
+    assert_eq!(document["moves"]["desk"]["to"], "v1");
+    assert_eq!(document["moves"].get("roster"), None);
+}
+
+#[rstest]
+#[case::unknown_service(json!({ "r-1": route("/a/", "nobody") }))]
+#[case::same_place(json!({ "r-1": route("/a/", "desk"), "r-2": route("/a/", "desk") }))]
+#[case::no_time(json!({ "r-1": { "host": "a.example", "prefix": "/a/", "service": "desk", "timeout_ms": 0 } }))]
+#[case::unknown_semantics(json!({ "r-1": { "host": "a.example", "prefix": "/a/", "service": "desk", "semantics": "odd" } }))]
+#[case::weight_below_zero(json!({ "r-1": { "host": "a.example", "prefix": "/a/",
+    "split": [{ "service": "desk", "weight": -1 }, { "service": "roster", "weight": 2 }] } }))]
+fn faulty_is_refused_whole(#[case] routes: Value) {
+    let mut catalog = Catalog::default();
+    let first = whole(4, first_routes());
+    put(&mut catalog, 0, &first);
+    let outcome = put(&mut catalog, 4, &whole(5, routes));
+    let number = code(&outcome).map_or(0, ResultCode::number);
+    assert!((2_001..=2_009).contains(&number), "{outcome:?}");
+    assert_eq!(read_back(&catalog), first);
+}
+
+#[test]
+fn cut_short_is_refused() {
+    let text = whole(4, first_routes()).to_string();
+    for length in [0, 1, text.len() / 2, text.len() - 1] {
+        assert!(RevisionBody::parse(&text.as_bytes()[..length]).is_err(), "{length}");
+    }
+}
+
+fn any_route() -> impl Strategy<Value = Value> {
+    let split = prop::collection::vec((0..3_u8, 0..100_u32), 1..3);
+    (1..2_000_u32, prop::option::of(1..500_u32), split, any::<bool>()).prop_map(
+        |(timeout, objective, split, single)| {
+            let name = |n: u8| ["desk", "roster", "hall"][usize::from(n)];
+            let mut route = json!({ "host": "a.example", "timeout_ms": timeout });
+            if let Some(objective) = objective {
+                route["objective_ms"] = objective.into();
+            }
+            match single {
+                true => route["service"] = name(split[0].0).into(),
+                false => {
+                    let parts = split.iter().map(|(service, weight)| {
+                        json!({ "service": name(*service), "weight": weight + 1 })
+                    });
+                    route["split"] = parts.collect();
+                }
+            }
+            route
+        },
+    )
+}
+
+fn any_whole() -> impl Strategy<Value = Value> {
+    prop::collection::btree_map(0..12_u8, any_route(), 0..8).prop_map(|routes| {
+        let routes: Map<String, Value> = routes
+            .into_iter()
+            .map(|(number, mut route)| {
+                route["prefix"] = format!("/{number}/").into();
+                (format!("r-{number}"), route)
+            })
+            .collect();
+        json!({ "services": { "desk": service(1), "roster": service(2), "hall": {} },
+            "routes": routes, "limits": { "idle_ms": 1_000 } })
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// After any row of whole configurations, exactly the last one is in force.
+    #[test]
+    fn last_one_holds(wholes in prop::collection::vec(any_whole(), 1..8)) {
+        let mut catalog = Catalog::default();
+        for (i, mut document) in wholes.into_iter().enumerate() {
+            let held = Revision { number: catalog.revision().number, ..catalog.revision() };
+            document["version"] = (held.number + 1 + i as u64).into();
+            let outcome = put(&mut catalog, held.number, &document);
+            prop_assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+            prop_assert_eq!(read_back(&catalog), document);
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/tests/overload_order.rs
@@ -0,0 +1,131 @@
+//! Overload at one target: who waits, who is refused, and how many calls a cold target gets.
+
+use kingcuplift_core::{PerSecond, Rank, ResultCode};
+use kingcuplift_traffic::{Admission, CallTimes, Decision, Limits, Release};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Seed of the random schedules.
+const SEED: u64 = 20_261_204;
+/// One millisecond on the clock of the admission.
+const MS: u64 = 1_000;
+/// One second on the clock of the admission.
+const SECOND: u64 = 1_000 * MS;
+
+fn times(objective_ms: u64, deadline_ms: u64, service_ms: u64) -> CallTimes {
+    CallTimes {
+        objective_us: objective_ms * MS,
+        deadline_us: deadline_ms * MS,
+        service_us: service_ms * MS,
+    }
+}
+
+/// Makes an admission whose calls have taken `service_ms` so far.
+fn admission(slots: u32, service_ms: u64) -> Admission {
+    let mut admission = Admission::new(Limits { slots, queue: 100 });
+    assert_eq!(admission.arrive(0, Rank::FIRST, u64::MAX / 2, 0), Decision::Run);
+    assert!(admission.finish(service_ms * MS, 0).is_empty());
+    admission
+}
+
+fn fill(admission: &mut Admission, slots: u32) {
+    for id in 0..slots {
+        let decision = admission.arrive(1_000 + u64::from(id), Rank::FIRST, u64::MAX / 2, 0);
+        assert_eq!(decision, Decision::Run);
+    }
+}
+
+#[test]
+fn full_value_goes_first() {
+    let mut admission = admission(1, 10);
+    fill(&mut admission, 1);
+    let rank = Rank::new(2);
+    let waits = Decision::Wait { displaced: None };
+    assert_eq!(admission.arrive_by(1, rank, times(25, 500, 10), 0), waits);
+    assert_eq!(admission.arrive_by(2, rank, times(200, 500, 10), 0), waits);
+    // At 30 ms the first can't be answered by 25 ms any more, the second by 200 ms can.
+    assert_eq!(admission.finish(10 * MS, 30 * MS), [Release::Run(2)]);
+    assert_eq!(admission.finish(10 * MS, 40 * MS), [Release::Run(1)], "late is better than never");
+}
+
+#[test]
+fn better_rank_goes_first() {
+    let mut admission = admission(1, 10);
+    fill(&mut admission, 1);
+    admission.arrive_by(1, Rank::new(2), times(200, 500, 10), 0);
+    admission.arrive_by(2, Rank::new(1), times(5, 500, 10), 0);
+    let released = admission.finish(10 * MS, 20 * MS);
+    assert_eq!(released, [Release::Run(2)], "a late call of a better rank goes before others");
+}
+
+#[test]
+fn short_call_is_not_hopeless() {
+    let mut admission = admission(8, 150);
+    fill(&mut admission, 8);
+    let inner = times(60, 200, 15);
+    assert_eq!(
+        admission.arrive_by(1, Rank::FIRST, inner, 0),
+        Decision::Wait { displaced: None },
+        "a call of 15 ms has a chance behind calls of 150 ms"
+    );
+    let released = admission.finish(150 * MS, 30 * MS);
+    assert_eq!(released, [Release::Run(1)]);
+}
+
+#[test]
+fn hopeless_is_refused_at_once() {
+    let mut admission = admission(4, 100);
+    fill(&mut admission, 4);
+    let mut refused = 0;
+    for id in 0..40 {
+        let decision = admission.arrive_by(id, Rank::new(2), times(200, 2_000, 100), 0);
+        refused += u32::from(decision == Decision::Refuse(ResultCode::Overloaded));
+    }
+    assert!(admission.waiting() <= 8, "{} wait", admission.waiting());
+    assert_eq!(refused as usize + admission.waiting(), 40);
+}
+
+#[test]
+fn pace_ends_with_warmup() {
+    let mut admission = admission(20, 10);
+    admission.set_pace(PerSecond::new(10.0), SECOND, 0);
+    let ran = (0..20).filter(|id| {
+        admission.arrive(*id, Rank::FIRST, 100 * SECOND, 0) == Decision::Run
+    });
+    assert!(ran.count() <= 3);
+    assert!(admission.next_release(0).is_some(), "somebody has to look again");
+    assert_eq!(admission.release(SECOND).len(), 17, "warm targets get all slots");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// In no second does a cold target get more calls than its rate and a small reserve.
+    #[test]
+    fn cold_rate_holds(
+        rate in 5..80_u32,
+        gaps in prop::collection::vec(0..60 * MS, 50..400),
+    ) {
+        let mut admission = Admission::new(Limits { slots: 30, queue: 1_000 });
+        admission.set_pace(PerSecond::new(f64::from(rate)), u64::MAX / 4, 0);
+        let (mut now, mut ran) = (0, Vec::new());
+        for (id, gap) in gaps.into_iter().enumerate() {
+            now += gap;
+            if admission.arrive(id as u64, Rank::FIRST, u64::MAX / 2, now) == Decision::Run {
+                ran.push(now);
+            }
+            let mut released = admission.release(now);
+            released.extend(admission.finish(5 * MS, now));
+            ran.extend(released.iter().filter(|r| matches!(r, Release::Run(_))).map(|_| now));
+        }
+        for (i, start) in ran.iter().enumerate() {
+            let count = ran[i..].iter().take_while(|at| **at < start + SECOND).count();
+            prop_assert!(count <= rate as usize + 4, "{count} calls in a second at {rate} a second");
+        }
+    }
+}
