--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -176,7 +176,9 @@
         let Some(mut place) = self.arrive(route, rank, time, objective)? else {
             return Ok(self.permit());
         };
-        let verdict = tokio::time::timeout(time, &mut place.verdict).await;
+        // Later than this the target could not answer in time.
+        let wait = time.saturating_sub(self.usual(route));
+        let verdict = tokio::time::timeout(wait, &mut place.verdict).await;
         let verdict = match verdict {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(_)) => Err(ResultCode::Displaced),
@@ -221,6 +223,11 @@
         }
     }
 
+    /// Returns how long calls of a route usually take here.
+    fn usual(&self, route: &SmolStr) -> Duration {
+        Duration::from_micros(self.lock().usual_us.get(route).copied().unwrap_or(0))
+    }
+
     fn refusal(&self, code: ResultCode, rank: Rank) -> Refusal {
         let wait = self.lock().admission.expected_wait(rank, monotonic_us());
         Refusal { code, room: Some(Duration::from_micros(wait)) }
--- a/crates/daemon/src/node/respond.rs
+++ b/crates/daemon/src/node/respond.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
-use kingcuplift_core::RunState;
+use kingcuplift_core::{ResultCode, RunState};
 use rand::Rng;
 
 use crate::node::body::Body;
@@ -13,12 +13,14 @@
 use crate::node::headers::{CODE, ROOM};
 use crate::problem::Problem;
 
-/// Shortest time after which a refused caller is asked to come back.
-const LEAST_WAIT: Duration = Duration::from_millis(60);
+/// Time after which a call that has found no room may find some: that of a few calls.
+const BUSY_WAIT: Duration = Duration::from_millis(250);
+/// Time after which a node that has no configuration, or no target, usually has one.
+const ABSENT_WAIT: Duration = Duration::from_millis(700);
 /// Longest time after which a refused caller is asked to come back.
 const MOST_WAIT: Duration = Duration::from_millis(1_500);
 /// Range of factors by which waiting times vary, so that callers don't come back together.
-const SPREAD: std::ops::Range<f64> = 0.8..1.6;
+const SPREAD: std::ops::Range<f64> = 0.8..1.4;
 
 /// Makes the HTTP answer of a call.
 pub(crate) fn respond(result: Result<Answer, Refusal>) -> Response<Body> {
@@ -47,7 +49,11 @@
         headers.insert(ROOM, HeaderValue::from(room.as_millis() as u64));
     }
     if code.run() == RunState::NotRun && status == StatusCode::SERVICE_UNAVAILABLE {
-        let wait = refusal.room.unwrap_or(LEAST_WAIT).clamp(LEAST_WAIT, MOST_WAIT);
+        let least = match code {
+            ResultCode::NodeNotReady | ResultCode::NoTarget => ABSENT_WAIT,
+            _ => BUSY_WAIT,
+        };
+        let wait = refusal.room.unwrap_or(least).clamp(least, MOST_WAIT);
         let spread = wait.mul_f64(rand::rng().random_range(SPREAD));
         let text = format!("{:.3}", spread.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -19,7 +19,7 @@
 /// Shortest time before the next connection attempt, in milliseconds.
 const FIRST_DELAY: u64 = 50;
 /// Longest time before the next connection attempt, in milliseconds.
-const MAX_DELAY: u64 = 3_000;
+const MAX_DELAY: u64 = 800;
 /// Silence after which a link counts as lost; beats come more than three times as often.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
 /// Time without word of a current leader after which another process is tried, at first.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -128,6 +128,9 @@
 
 impl Replica {
     /// Makes a member from its durable state; `seed` varies election times.
+    ///
+    /// The first election may begin sooner than later ones: after a restart of all, nobody leads. Members that
+    /// do follow a leader refuse the pre-vote.
     pub fn new(
         identity: Identity,
         timing: Timing,
@@ -165,7 +168,7 @@
             writes: VecDeque::new(),
             rng: SmallRng::seed_from_u64(seed),
         };
-        replica.reset_deadline();
+        replica.deadline = now + replica.rng.random_range(timing.election / 5..timing.election);
         replica
     }
 
--- a/crates/testing/src/addresses.rs
+++ b/crates/testing/src/addresses.rs
@@ -24,6 +24,11 @@
         Self { host, port: FIRST_PORT }
     }
 
+    /// Returns the loopback address.
+    pub(crate) fn host(&self) -> &str {
+        &self.host
+    }
+
     /// Returns an address with a port of its own.
     pub(crate) fn next(&mut self) -> String {
         self.port += 1;
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -6,10 +6,14 @@
 mod addresses;
 mod cluster;
 mod disk;
+mod open_site;
 mod process;
+mod scripted;
 mod site;
 
 pub use cluster::{Cluster, ELECTION, member_id};
 pub use disk::{DiskFault, FakeDisk};
+pub use open_site::{NodeAddresses, OpenSite, RawAnswer, begin_request, request};
 pub use process::binary;
+pub use scripted::{Script, ScriptedTarget, Seen};
 pub use site::{Reply, Site, SiteBuilder};
--- /dev/null
+++ b/crates/testing/src/scripted.rs
@@ -0,0 +1,133 @@
+//! A target whose answers a test scripts.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::addresses::AddressPool;
+
+/// What a scripted target does with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Script {
+    /// Answers well, after a time.
+    Answer(Duration),
+    /// Answers well under another call's id.
+    Foreign,
+    /// Answers with success but without the seal.
+    Unsealed,
+    /// Says that it has not run the request.
+    Shed,
+    /// Closes the connection without an answer.
+    Break,
+    /// Answers nothing until the connection is closed.
+    Hang,
+}
+
+/// A request that a scripted target got.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Head, in lower case.
+    pub head: String,
+    /// When the other end closed the connection, if it did before an answer.
+    pub closed_at: Option<Instant>,
+}
+
+/// A target whose answers a test scripts.
+#[derive(Debug, Clone)]
+pub struct ScriptedTarget {
+    address: SocketAddr,
+    script: Arc<Mutex<Script>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl ScriptedTarget {
+    /// Starts a target; its threads end with the test's process.
+    pub fn start(script: Script) -> Self {
+        let listener = TcpListener::bind(AddressPool::new().next()).expect("an address is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let target =
+            Self { address, script: Arc::new(Mutex::new(script)), seen: Arc::default() };
+        let server = target.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = server.clone();
+                std::thread::spawn(move || server.serve(stream));
+            }
+        });
+        target
+    }
+
+    /// Returns the target's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the target does from now on.
+    pub fn set(&self, script: Script) {
+        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script;
+    }
+
+    /// Returns the requests seen so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        while let Some(head) = read_head(&mut stream) {
+            let place = {
+                let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+                seen.push(Seen { head: head.clone(), closed_at: None });
+                seen.len() - 1
+            };
+            let script = self.script.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let id = head.lines().find_map(|line| line.strip_prefix("x-call: ")).unwrap_or("");
+            let written = match script {
+                Script::Answer(time) => {
+                    std::thread::sleep(time);
+                    answer(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
+                }
+                Script::Foreign => answer(&mut stream, "200 OK", "x-call: other\r\nx-seal: s\r\n"),
+                Script::Unsealed => answer(&mut stream, "200 OK", &format!("x-call: {id}\r\n")),
+                Script::Shed => {
+                    let headers = format!("x-call: {id}\r\nx-not-run: 1\r\n");
+                    answer(&mut stream, "503 Service Unavailable", &headers)
+                }
+                Script::Break => return,
+                Script::Hang => {
+                    // The read ends when the other end closes.
+                    let _end = stream.read(&mut [0]);
+                    let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+                    seen[place].closed_at = Some(Instant::now());
+                    return;
+                }
+            };
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn answer(stream: &mut TcpStream, status: &str, headers: &str) -> std::io::Result<()> {
+    let text = format!("HTTP/1.1 {status}\r\n{headers}content-length: 4\r\n\r\nbody");
+    stream.write_all(text.as_bytes())
+}
+
+/// Reads a request without a body, or with a short one that is dropped.
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => bytes.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let head = String::from_utf8_lossy(&bytes).to_ascii_lowercase().replace("\r\n", "\n");
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(head)
+}
