--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -10,8 +10,10 @@
 const FAIRNESS_INTERVAL: u64 = 16;
 /// Part of the slots that counts for a cold target whose service time is unknown: one in this many.
 const COLD_DIVISOR: u32 = 4;
-/// Calls that may wait although they have missed their objective: one for this many slots.
-const LATE_DIVISOR: u32 = 2;
+/// Calls of a rank that may wait although they will miss their objective: one for this many slots.
+const FEW_DIVISOR: u32 = 4;
+/// Weight of the newest wait in the average of a rank: one in this many.
+const WAIT_DIVISOR: u64 = 4;
 /// Calls to a cold target that may run at once after a pause.
 const PACE_RESERVE: u64 = 2;
 /// Microseconds in a second.
@@ -79,6 +81,7 @@
 struct Waiting {
     id: CallId,
     times: CallTimes,
+    arrived_us: u64,
 }
 
 /// Limit on the calls to a cold target: evenly spaced, with a small reserve after a pause.
@@ -117,6 +120,8 @@
     service_us: u64,
     is_open: bool,
     pace: Option<Pace>,
+    /// How long calls of each rank have waited of late, in microseconds.
+    waits: HashMap<Rank, u64>,
 }
 
 impl Admission {
@@ -132,6 +137,7 @@
             service_us: 0,
             is_open: true,
             pace: None,
+            waits: HashMap::new(),
         }
     }
 
@@ -239,19 +245,35 @@
         }
         self.arrivals += 1;
         let place = (rank, false, self.arrivals);
-        self.waiting.insert(place, Waiting { id, times });
+        self.waiting.insert(place, Waiting { id, times, arrived_us: now_us });
         self.places.insert(id, place);
         Decision::Wait { displaced: displaced.map(|(_, id)| id) }
     }
 
-    /// Returns whether a call would miss its objective while enough others wait that have missed theirs.
+    /// Returns whether a call would miss its objective while enough others wait.
+    ///
+    /// Calls of better ranks that arrive later go first, so what calls of its rank have waited of late counts
+    /// beside their number.
     fn is_hopeless(&self, rank: Rank, times: CallTimes, now_us: u64) -> bool {
-        let service_us = self.expected_service(times);
-        let answered_us = now_us + self.expected_wait(rank, now_us) + service_us;
-        let late = self.waiting.keys().filter(|(_, is_late, _)| *is_late).count();
+        let first = (rank, false, 0);
+        let alike = self.waiting.range(first..=(rank, true, u64::MAX)).count();
+        let seen = self.waits.get(&rank).copied().filter(|_| alike > 0).unwrap_or(0);
+        let wait_us = self.expected_wait(rank, now_us).max(seen);
+        let answered_us = now_us + wait_us + self.expected_service(times);
         let has_objective = times.objective_us < times.deadline_us;
-        let most = (self.limits.slots / LATE_DIVISOR).max(1) as usize;
-        has_objective && answered_us >= times.objective_us && (late >= most || self.is_deep())
+        let few = (self.limits.slots / FEW_DIVISOR).max(1) as usize;
+        has_objective && answered_us >= times.objective_us && alike >= few
+    }
+
+    /// Learns how long a call has waited.
+    fn learn_wait(&mut self, rank: Rank, waited_us: u64) {
+        let held = self.waits.entry(rank).or_insert(waited_us);
+        *held = (*held * (WAIT_DIVISOR - 1) + waited_us) / WAIT_DIVISOR;
+    }
+
+    /// Returns whether more calls wait than run.
+    fn is_deep(&self) -> bool {
+        self.waiting.len() > self.limits.slots as usize
     }
 
     /// Returns the time that the target is expected to take for a call.
@@ -262,11 +284,6 @@
         }
     }
 
-    /// Returns whether more calls wait than run.
-    fn is_deep(&self) -> bool {
-        self.waiting.len() >= self.limits.slots.max(1) as usize
-    }
-
     /// Counts a call that begins to run.
     fn begin(&mut self, now_us: u64) {
         self.running += 1;
@@ -292,12 +309,16 @@
             let Some(place) = self.next_place() else { break };
             let Some(call) = self.waiting.remove(&place) else { break };
             self.places.remove(&call.id);
+            self.learn_wait(place.0, now_us.saturating_sub(call.arrived_us));
             let answered_us = now_us + self.expected_service(call.times);
             let (rank, is_late, arrival) = place;
             match () {
                 () if answered_us >= call.times.deadline_us => {
                     released.push(Release::Expired(call.id));
                 }
+                () if !is_late && answered_us >= call.times.objective_us && self.is_deep() => {
+                    released.push(Release::Expired(call.id));
+                }
                 () if !is_late && answered_us >= call.times.objective_us => {
                     let place = (rank, true, arrival);
                     self.waiting.insert(place, call);
