--- a/crates/daemon/src/node/control/locals.rs
+++ b/crates/daemon/src/node/control/locals.rs
@@ -29,6 +29,8 @@
     pub(super) life: Life,
     /// Whether it took no connection since its last report.
     pub(super) is_down: bool,
+    /// When the target is warm, on the node's clock, in milliseconds.
+    pub(super) warm_at: u64,
 }
 
 impl NodeActor {
@@ -73,9 +75,12 @@
             let Some(local) = locals.get(key) else { continue };
             local.gate.set_limits(self.limits(key, lease));
             self.follow_state(key, local);
-            if is_back && let Some(known) = self.lives.get(key) {
-                // What it did while it got no calls is unknown; its next report says whether it is cold.
-                let warmup = self.warmup(key).max(known.life.warmup);
+            let Some(known) = self.lives.get(key) else { continue };
+            // What it did while its zone got no calls is unknown; its next report says whether it is cold.
+            let assumed = if is_back { self.warmup(key) } else { Duration::ZERO };
+            let left = Duration::from_millis(known.warm_at.saturating_sub(monotonic_ms()));
+            let warmup = assumed.max(left);
+            if !warmup.is_zero() {
                 local.gate.set_pace(self.warmup_rate(key), warmup);
             }
         }
@@ -196,7 +201,14 @@
         let Some(life) = life else { return true };
         let held = self.lives.get(key).map(|known| (known.life.born, known.life.instance.clone()));
         let same = held == Some((life.born, life.instance.clone()));
-        self.lives.insert(key.clone(), Known { life: life.clone(), is_down: false });
+        self.lives.insert(
+            key.clone(),
+            Known {
+                life: life.clone(),
+                is_down: false,
+                warm_at: monotonic_ms() + life.warmup.as_millis() as u64,
+            },
+        );
         same
     }
 
