--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -11,7 +11,7 @@
 /// Part of the slots that counts for a cold target whose service time is unknown: one in this many.
 const COLD_DIVISOR: u32 = 4;
 /// Calls of a rank that may wait although they will miss their objective: one for this many slots.
-const FEW_DIVISOR: u32 = 4;
+const FEW_DIVISOR: u32 = 1;
 /// Weight of the newest wait in the average of a rank: one in this many.
 const WAIT_DIVISOR: u64 = 4;
 /// Calls to a cold target that may run at once after a pause.
--- a/crates/traffic/src/repeats.rs
+++ b/crates/traffic/src/repeats.rs
@@ -10,7 +10,7 @@
 /// Steps in which the time of the budget slides.
 const STEPS: u64 = 10;
 /// Part of the budget that is spent: calls that repeats cause further on count there as repeats too.
-const SPENT_PART: f64 = 0.35;
+const SPENT_PART: f64 = 0.42;
 
 /// Repeats that all nodes together may send to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
