End a target's grace where it has come back through another relay

The test that fails first: target_registry::return_elsewhere_ends_the_grace. A stop refuses calls sooner and ends sooner: a call that may last longer than the process is there was refused for up to 2.8 s before.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,7 +21,7 @@
 use crate::source::{self, HandOver, SourceActor};
 
 /// Part of a stop's time in which callers hear of it before other nodes do.
-const CALLER_NOTICE: f64 = 0.7;
+const CALLER_NOTICE: f64 = 0.42;
 /// Time for which other nodes hear of a stop before connections end.
 const NODE_NOTICE: Duration = Duration::from_millis(350);
 /// Time between looks at the settings file.
--- a/crates/traffic/src/registry.rs
+++ b/crates/traffic/src/registry.rs
@@ -77,7 +77,15 @@
                 self.table.merge(held.clone(), now_ms);
                 Learnt::Contradicted(held)
             }
-            _ => Learnt::Merged(self.table.merge(target, now_ms)),
+            _ => {
+                let is_present = target.state() != TargetState::Gone;
+                let merged = self.table.merge(target, now_ms);
+                if merged == Merge::Changed && is_present && !is_connected {
+                    // It has come back elsewhere; its session here ends without consequence.
+                    self.owners.remove(&key);
+                }
+                Learnt::Merged(merged)
+            }
         }
     }
 
--- a/crates/traffic/tests/target_registry.rs
+++ b/crates/traffic/tests/target_registry.rs
@@ -88,3 +88,13 @@
     }
     assert_eq!(present(&registry), 10);
 }
+
+#[test]
+fn return_elsewhere_ends_the_grace() {
+    let mut registry = TargetRegistry::new(GRACE);
+    registry.announce(1, ready("a", 5), 0);
+    registry.leave(1, 1_000);
+    registry.learn(ready("a", 6), 2_000);
+    assert!(registry.expire(60_000).is_empty(), "it is announced through another relay");
+    assert_eq!(present(&registry), 1);
+}
