--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -28,6 +28,8 @@
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Time between looks whether all calls have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for an interface for control to finish its answers.
+const SERVER_STOP_LIMIT: Duration = Duration::from_millis(400);
 /// Time for a successor to take over leadership.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(300);
 
@@ -185,7 +187,10 @@
             node.stop().await;
         }
         for server in &self.servers {
-            server.stop(true).await;
+            // An idle connection may outlive any patience.
+            if tokio::time::timeout(SERVER_STOP_LIMIT, server.stop(true)).await.is_err() {
+                log::debug!("an interface for control did not end in {SERVER_STOP_LIMIT:?}");
+            }
         }
     }
 }
