One rule and one budget for repeats; remove what nothing uses

The older budget of retries was no longer used by calls. Result codes, events and messages that nothing sends are gone.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -148,12 +148,8 @@
     TargetReplaced = 3015, 503, NotRun;
     /// The target said that it has not run the call.
     TargetShed = 3016, 503, NotRun;
-    /// Calls to a cold target are limited at present.
-    TargetCold = 3017, 503, NotRun;
     /// The answer is damaged, or belongs to another call.
     AnswerDamaged = 3018, 502, Unknown;
-    /// The request broke the targets that ran it before.
-    RequestSuspect = 3019, 503, NotRun;
     /// The call could not be answered in time.
     Overloaded = 3020, 503, NotRun;
     /// No leader of the source is known at present.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -109,10 +109,6 @@
     DiskRefused = 112, Error;
     /// The leader changes the membership by itself.
     MembersPlaced = 113, Info;
-    /// A member without contact to the group asks to be taken in.
-    MemberOffered = 114, Info;
-    /// A whole configuration was accepted.
-    RevisionAccepted = 115, Info;
     /// A move went a step further, was done or was taken back.
     MoveStepped = 116, Info;
     /// A connection to a peer was established.
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -12,7 +12,8 @@
 use kingcuplift_config::Semantics;
 use kingcuplift_core::{Event, ResultCode, RunState};
 use kingcuplift_traffic::{
-    CallShape, Candidate, RouteMatch, ServiceView, Serving, TargetKey, View, Wanted, choose,
+    Attempt, CallShape, Candidate, RouteMatch, ServiceView, Serving, TargetKey, View, Wanted,
+    choose, may_retry,
 };
 use smol_str::SmolStr;
 
@@ -316,36 +317,35 @@
 
     /// Decides whether the call may go to another target.
     fn judge(&mut self, result: Result<Answer, Refusal>) -> Next {
-        match &result {
+        let code = match &result {
             Ok(answer) if answer.status.is_server_error() && self.is_idempotent => {
-                self.sent += 1;
-                self.repeat(result)
+                return self.repeat(result);
             }
-            Ok(_) => Next::Settled(result),
-            Err(refusal) => match (refusal.code, refusal.code.run()) {
-                (ResultCode::TargetShed | ResultCode::TargetReplaced, _) => {
-                    self.sent += 1;
-                    self.repeat(result)
-                }
-                (_, RunState::NotRun) => {
-                    self.refusals += 1;
-                    match self.refusals < MAX_REFUSALS {
-                        true => Next::Again(result),
-                        false => Next::Settled(result),
-                    }
-                }
-                (ResultCode::DeadlineAfter, _) => Next::Settled(result),
-                _ if self.is_idempotent => {
-                    self.sent += 1;
-                    self.repeat(result)
-                }
-                _ => Next::Settled(result),
-            },
+            Ok(_) => return Next::Settled(result),
+            Err(refusal) => refusal.code,
+        };
+        let attempt = Attempt { run: code.run(), idempotent: self.is_idempotent };
+        match code {
+            ResultCode::DeadlineAfter => Next::Settled(result),
+            _ if !may_retry(attempt) => Next::Settled(result),
+            ResultCode::TargetShed | ResultCode::TargetReplaced => self.repeat(result),
+            _ if attempt.run == RunState::Unknown => self.repeat(result),
+            _ => self.try_elsewhere(result),
+        }
+    }
+
+    /// Allows another attempt after a node refused the call before its target saw it.
+    fn try_elsewhere(&mut self, result: Result<Answer, Refusal>) -> Next {
+        self.refusals += 1;
+        match self.refusals < MAX_REFUSALS {
+            true => Next::Again(result),
+            false => Next::Settled(result),
         }
     }
 
-    /// Allows another attempt if the route and the budget of all nodes do.
-    fn repeat(&self, result: Result<Answer, Refusal>) -> Next {
+    /// Allows another attempt after the call has reached a target, if the route and the budget of all nodes do.
+    fn repeat(&mut self, result: Result<Answer, Refusal>) -> Next {
+        self.sent += 1;
         if self.sent >= self.most {
             return Next::Settled(result);
         }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -163,7 +163,7 @@
             downward::Body::Targets(update) => self.merge_targets(update),
             downward::Body::Freshness(reply) => self.proved_fresh(reply),
             downward::Body::Directory(directory) => self.learn_places(&directory),
-            downward::Body::Suspect(_) | downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
+            downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
 
--- a/crates/daemon/src/node/control/locals.rs
+++ b/crates/daemon/src/node/control/locals.rs
@@ -23,6 +23,7 @@
 const DEFAULT_WARMUP_RATE: PerSecond = PerSecond::new(20.0);
 /// Calls that may wait before a target whose service is not configured.
 const DEFAULT_QUEUE: u32 = 100;
+
 /// What the node knows of the life of a target beside it.
 #[derive(Debug, Clone)]
 pub(super) struct Known {
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -143,7 +143,7 @@
                 self.addresses.learn(sources.collect());
                 self.fanout.set_directory(directory);
             }
-            downward::Body::Suspect(_) | downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
+            downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
 
@@ -372,7 +372,7 @@
                     log::debug!("evidence was dropped: the source is not linked");
                 }
             }
-            upward::Body::Suspect(_) | upward::Body::Hello(_) | upward::Body::Progress(_) => {}
+            upward::Body::Hello(_) | upward::Body::Progress(_) => {}
         }
     }
 }
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -143,7 +143,7 @@
             }
             upward::Body::Resync(_) => self.relays.fanout.resync(session),
             upward::Body::Evidence(evidence) => self.learn_evidence(&evidence),
-            upward::Body::Hello(_) | upward::Body::Applied(_) | upward::Body::Suspect(_) => {}
+            upward::Body::Hello(_) | upward::Body::Applied(_) => {}
         }
     }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -23,7 +23,7 @@
 pub use mover::{Fault, MoveEvidence, MoveStage, MoveStep, Side, next_step};
 pub use registry::{Learnt, TargetRegistry};
 pub use repeats::{RepeatBudget, RepeatLimits};
-pub use retry::{Attempt, RetryBudget, may_retry};
+pub use retry::{Attempt, may_retry};
 pub use router::{RouteMatch, Router};
 pub use table::{Merge, TargetKey, TargetTable};
 pub use view::{ServiceView, Serving, View, is_out, serving};
--- a/crates/traffic/src/repeats.rs
+++ b/crates/traffic/src/repeats.rs
@@ -26,7 +26,7 @@
 impl Default for RepeatLimits {
     /// One repeat for ten calls, and a slack for sites with little traffic.
     fn default() -> Self {
-        Self { ratio: 0.1, window_ms: 10_000, slack: 50.0 }
+        Self { ratio: 0.1, window_ms: 10_000, slack: 20.0 }
     }
 }
 
