--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -29,7 +29,7 @@
 /// Time for which a node may be away before its targets count as gone, in milliseconds.
 const NODE_GRACE: u64 = 10_000;
 /// Time for which the word of a current leader counts as fresh, in milliseconds.
-const FRESH_LIMIT: u64 = 1_000;
+const FRESH_LIMIT: u64 = 800;
 /// Time after which a node tries again while the relay has no configuration, in milliseconds.
 const EMPTY_RETRY: u64 = 500;
 
@@ -298,11 +298,9 @@
             FromAbove::Received(body) => self.received(*body),
             FromAbove::Beat(fresh) => {
                 let was_fresh = self.is_fresh();
-                if fresh {
-                    self.fresh_ms = monotonic_ms();
-                }
-                if fresh && !was_fresh {
-                    self.fanout.beat_all(true);
+                self.fresh_ms = if fresh { monotonic_ms() } else { 0 };
+                if fresh != was_fresh {
+                    self.fanout.beat_all(fresh);
                 }
             }
             FromAbove::Closed => {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -23,9 +23,7 @@
 /// Silence after which a link counts as lost; beats come more than three times as often.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
 /// Time without word of a current leader after which another process is tried, at first.
-const STALE_LIMIT: Duration = Duration::from_millis(1_200);
-/// The same on a new link, where others have been fresh before.
-const NEW_STALE_LIMIT: Duration = Duration::from_millis(300);
+const STALE_LIMIT: Duration = Duration::from_millis(800);
 /// Doublings of that time while no process has word of a leader.
 const MAX_STALE_DOUBLINGS: usize = 4;
 /// Range of the first attempt's place in the list of addresses.
@@ -300,7 +298,7 @@
 
     /// Takes a beat; a link that is not fresh for too long is given up.
     ///
-    /// A new link that is not fresh is given up sooner, until each process has been tried.
+    /// A new link that is not fresh is given up at once, until each process has been tried, if others were fresh.
     fn hear(&mut self, fresh: bool) -> Result<(), LinkError> {
         if fresh {
             self.fresh_at = Some(Instant::now());
@@ -310,7 +308,7 @@
         }
         let rounds = self.given_up / self.relays.max(1);
         let limit = match (self.fresh_at, rounds) {
-            (None, 0) if self.was_fresh => NEW_STALE_LIMIT,
+            (None, 0) if self.was_fresh => Duration::ZERO,
             _ => STALE_LIMIT * (1 << rounds.min(MAX_STALE_DOUBLINGS)),
         };
         let since = self.fresh_at.or(self.began);
