A node without any configuration refuses for now, and is not ready

Found by open_calls beside load: a node whose freshness was proved before the first configuration answered 404 to calls that the next version allows.

--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -192,7 +192,9 @@
 
 async fn readiness(node: web::Data<Addr<NodeActor>>) -> HttpResponse {
     match node.send(AskHealth).await {
-        Ok(state) if state.ready && !state.stopping => HttpResponse::Ok().finish(),
+        Ok(state) if state.ready && state.version > 0 && !state.stopping => {
+            HttpResponse::Ok().finish()
+        }
         _ => HttpResponse::ServiceUnavailable().finish(),
     }
 }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -241,6 +241,10 @@
             Freshness::Needed(_) => self.freshness = Freshness::Proved,
             Freshness::Proved => {}
         }
+        if self.feed.head() == Version::default() {
+            // Without any configuration a call is refused for now; it is not unknown.
+            return;
+        }
         self.view.update(&self.feed, &self.table, &self.changed);
         self.changed.clear();
         let version = self.feed.head();
