--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -24,7 +24,7 @@
 use crate::node::envelope::{Envelope, take_load};
 use crate::node::forward::{self, Answer, Call, Outcome, Refusal};
 use crate::node::headers::{self, CODE, ENVELOPE, LOAD, ROOM, strip_hop};
-use crate::node::peers::{hand_over, path_of, shorter};
+use crate::node::peers::{hand_over, path_of};
 use crate::node::respond::respond;
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::NodeShared;
@@ -123,7 +123,7 @@
     let millis: f64 = text.trim().parse().map_err(|_invalid| ResultCode::CallMalformed)?;
     let left = Duration::try_from_secs_f64(millis / 1_000.0);
     let left = left.map_err(|_invalid| ResultCode::CallMalformed)?;
-    Ok(shorter(route.timeout, Some(left)))
+    Ok(route.timeout.min(left))
 }
 
 fn make_call(
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
@@ -192,8 +192,3 @@
     uri.path_and_query()
         .map_or_else(|| SmolStr::new_static("/"), |path| SmolStr::new(path.as_str()))
 }
-
-/// Returns the shorter of two times.
-pub(crate) fn shorter(left: Duration, right: Option<Duration>) -> Duration {
-    right.map_or(left, |right| left.min(right))
-}
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -260,8 +260,6 @@
             at_ms: wall_ms(),
             ..Submission::default()
         };
-        let (token, answer) = self.expect_answer();
-        self.step(Input::Propose { token, command: submission.encode_to_vec() });
-        answer
+        self.propose(&submission)
     }
 }
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -31,10 +31,7 @@
             let outcome = Outcome::refused(faults);
             return Box::pin(async move { Answer::outcome(outcome) });
         }
-        let (token, answer) = self.expect_answer();
-        let command = submission.encode_to_vec();
-        self.step(Input::Propose { token, command });
-        answer
+        self.propose(&submission)
     }
 }
 
@@ -49,14 +46,19 @@
             Ok(submission) => submission,
             Err(outcome) => return Box::pin(async move { Answer::outcome(outcome) }),
         };
+        self.propose(&submission)
+    }
+}
+
+impl SourceActor {
+    /// Proposes a submission and returns its future answer.
+    pub(crate) fn propose(&mut self, submission: &Submission) -> ResponseFuture<Answer> {
         let (token, answer) = self.expect_answer();
         let command = submission.encode_to_vec();
         self.step(Input::Propose { token, command });
         answer
     }
-}
 
-impl SourceActor {
     /// Makes the submission of a whole configuration, or returns what is known to become of it.
     fn check_revision(&self, message: &Revise) -> Result<Submission, Outcome> {
         let body = RevisionBody::parse(&message.text).map_err(Outcome::refused)?;
