Elect at once after a restart of all; empty the queue of a target that leaves

Cause (recovery): a restarted member withheld its vote, also in pre-votes, for one election time, while its first try came after 0.1 to 0.5 of it; that always failed, and the next try came 1 to 2 election times later. Now the vote is free once every other voter says that it leads nothing, has heard of no leader and holds the same membership.

Ruled out: slow starts (13 ms), slow links (the first answers come within 0.3 s), slow reading of the log.

Where a voter has lost its disk, one election time is still waited.

--- a/crates/cli/tests/open_calls.rs
+++ b/crates/cli/tests/open_calls.rs
@@ -8,6 +8,9 @@
 /// Time within which a target must be rid of a call whose caller has left.
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time after which nothing may reach a target that has said that it leaves.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
 fn whole(number: u64) -> Value {
     json!({
         "version": number,
@@ -137,6 +140,25 @@
     assert_eq!(call(&site, "node-1", "GET", "/read/1", "c-5").status, 200, "a new life");
 }
 
+#[test]
+fn leaving_target_keeps_nobody_waiting() {
+    let (site, target) = serving(Script::Hang);
+    let callers = site.addresses("node-1").callers.clone();
+    let headers = "host: a.example\r\nx-call: held\r\nx-left: 10000\r\n";
+    let held: Vec<_> =
+        (0..4).map(|_| begin_request(&callers, "GET", "/read/1", headers, "")).collect();
+    site.wait("all slots in use", |_| (target.seen().len() == held.len()).then_some(()));
+    let waiting = std::thread::spawn(move || request(&callers, "GET", "/read/2", headers, ""));
+    std::thread::sleep(Duration::from_millis(200));
+    let began = Instant::now();
+    report(&site, "node-1", &target, &json!({ "state": "leaving", "sequence": 2 }));
+    let answer = waiting.join().expect("the call ends");
+    let after = began.elapsed();
+    assert_eq!((answer.status, answer.json()["run"].as_str()), (503, Some("not_run")));
+    assert!(after < DRAIN_LIMIT, "{after:?} after the word that the target leaves");
+    assert_eq!(target.seen().len(), held.len(), "the target saw only what it had before");
+}
+
 #[test]
 fn odd_reports_name_no_target() {
     let (site, target) = serving(Script::Answer(Duration::ZERO));
--- a/crates/daemon/src/node/control/locals.rs
+++ b/crates/daemon/src/node/control/locals.rs
@@ -21,6 +21,8 @@
 const INHERITANCE: u64 = 5_000;
 /// Calls a second for a cold target whose service names no rate.
 const DEFAULT_WARMUP_RATE: PerSecond = PerSecond::new(20.0);
+/// Time for which calls that wait may still go to a target that leaves: half of what it grants at least.
+const LINGER: Duration = Duration::from_secs(1);
 /// Calls that may wait before a target whose service is not configured.
 const DEFAULT_QUEUE: u32 = 100;
 
@@ -91,7 +93,7 @@
     fn follow_state(&self, key: &TargetKey, local: &LocalTarget) {
         match self.state_of(key) {
             TargetState::Ready if !self.is_out && !self.is_closing => local.gate.open(),
-            _ => local.gate.close(),
+            _ => local.gate.close(LINGER),
         }
     }
 
@@ -242,7 +244,7 @@
         known.is_down = true;
         Event::TargetLost.emit(&[("target", &down.key), ("instance", &down.instance)]);
         if let Some(local) = self.shared.locals.load().get(&down.key) {
-            local.gate.close();
+            local.gate.close(Duration::ZERO);
         }
         self.publish_anew(&down.key);
     }
@@ -272,7 +274,7 @@
         }
         self.change_locals(|locals| {
             for local in keys.iter().filter_map(|key| locals.remove(key)) {
-                local.gate.close();
+                local.gate.close(LINGER);
                 gates.push(Arc::clone(&local.gate));
             }
         });
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -121,9 +121,14 @@
         }
         state.queue = limits.queue;
         state.follow_bearing();
+        self.settle(&mut state);
+    }
+
+    /// Gives free slots to waiting calls and refuses those that must not wait any longer.
+    fn settle(self: &Arc<Self>, state: &mut State) {
         let released = state.admission.release(monotonic_us());
         state.dispatch(released);
-        self.follow_pace(&mut state);
+        self.follow_pace(state);
     }
 
     /// Limits the rate of calls for a time, because the target is cold.
@@ -140,9 +145,19 @@
         state.dispatch(released);
     }
 
-    /// Refuses all calls that arrive from now on.
-    pub(crate) fn close(&self) {
-        self.lock().admission.close();
+    /// Refuses all calls that arrive from now on, and after `linger` those that wait.
+    pub(crate) fn close(self: &Arc<Self>, linger: Duration) {
+        let mut state = self.lock();
+        state.admission.close(monotonic_us() + linger.as_micros() as u64);
+        if state.admission.waiting() == 0 {
+            return;
+        }
+        drop(state);
+        let gate = Arc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(linger).await;
+            gate.settle(&mut gate.lock());
+        });
     }
 
     /// Admits calls again.
@@ -308,6 +323,7 @@
             let (id, verdict) = match release {
                 Release::Run(id) => (id, Ok(())),
                 Release::Expired(id) => (id, Err(ResultCode::DeadlineBefore)),
+                Release::Closed(id) => (id, Err(ResultCode::Draining)),
             };
             if let Some(waiter) = self.waiters.remove(&id) {
                 // A caller that has gone gives the slot back through its place.
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -14,7 +14,7 @@
 impl Replica {
     /// Asks whether an election could be won, without changing the term.
     pub(crate) fn begin_pre_vote(&mut self) {
-        self.reset_deadline();
+        self.plan_retry();
         if !self.log.membership().is_voter(self.identity.id) {
             return;
         }
@@ -28,7 +28,7 @@
         if !self.log.membership().is_voter(self.identity.id) || !self.trust.is_proved() {
             return;
         }
-        self.reset_deadline();
+        self.plan_retry();
         self.hard = HardState { term: self.hard.term + 1, vote: self.identity.id.get() };
         self.role = Role::Candidate { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(false, transfer);
@@ -53,8 +53,7 @@
     }
 
     pub(crate) fn on_vote(&mut self, from: MemberId, term: u64, request: VoteRequest) {
-        let recent = self.now < self.contact_at + self.timing.election;
-        let led = matches!(self.role, Role::Leader(_)) || recent;
+        let led = matches!(self.role, Role::Leader(_)) || self.promise.binds(self.now);
         let proposed = if request.pre { term + 1 } else { term };
         if led && !request.transfer {
             return self.reply_vote(from, request.pre, false);
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -11,6 +11,7 @@
 mod log;
 mod membership;
 mod placement;
+mod promise;
 mod replica;
 mod replication;
 mod store;
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -1,8 +1,10 @@
 //! Members of the group and majorities among them.
 
 use kingcuplift_core::MemberId;
+use kingcuplift_schema::Message as _;
 use kingcuplift_schema::quorum::{Membership, Voter};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Reason why a membership change is refused.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -34,6 +36,8 @@
     fn majority(&self) -> usize;
     /// Returns whether `next` may follow this membership.
     fn check_change(&self, next: &Membership) -> Result<(), MembershipError>;
+    /// Returns a digest of the content.
+    fn digest(&self) -> u64;
 }
 
 impl Members for Membership {
@@ -49,6 +53,10 @@
         self.voters.len() / 2 + 1
     }
 
+    fn digest(&self) -> u64 {
+        xxh3_64(&self.encode_to_vec())
+    }
+
     fn check_change(&self, next: &Membership) -> Result<(), MembershipError> {
         if next.voters.is_empty() {
             return Err(MembershipError::Empty);
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -10,12 +10,17 @@
 use crate::effect::{Effect, Event, Millis, Notice, Refusal, Ticket, Token};
 use crate::log::Log;
 use crate::membership::Members;
+use crate::promise::Promise;
 use crate::trust::Trust;
 
 /// Proposals that may wait for commitment at a time.
 const MAX_PENDING: usize = 4_096;
 /// Part of the election time by which clocks may drift apart during a lease: one tenth.
 const DRIFT_DIVISOR: u64 = 10;
+/// Part of the election time between the first tries of two voters: one tenth.
+const TURN_DIVISOR: u64 = 10;
+/// Election times after a start during which a failed election is soon tried again.
+const YOUTH: u64 = 3;
 
 /// Who the member is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,6 +114,10 @@
     /// Highest index that is synced here.
     pub(crate) stored: u64,
     pub(crate) contact_at: Millis,
+    /// Whom the member may not vote against.
+    pub(crate) promise: Promise,
+    /// Time after which failed elections are no longer hastened.
+    young_until: Millis,
     pub(crate) deadline: Millis,
     pub(crate) now: Millis,
     /// Committed entries that each member, with its disk, is known to have stored.
@@ -144,6 +153,8 @@
             0 => Trust::Proved,
             _ => Trust::asking(now, timing.election),
         };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let promise = Promise::unknown(now + timing.election, rng.random());
         let mut replica = Self {
             identity,
             timing,
@@ -155,6 +166,8 @@
             stored: log.last_index(),
             log,
             contact_at: now,
+            promise,
+            young_until: now + YOUTH * timing.election,
             deadline: now,
             now,
             watermarks: BTreeMap::new(),
@@ -166,7 +179,7 @@
             done: 0,
             held: VecDeque::new(),
             writes: VecDeque::new(),
-            rng: SmallRng::seed_from_u64(seed),
+            rng,
         };
         replica.hasten_election();
         replica
@@ -276,7 +289,10 @@
         };
         let own_term = self.log.term_at(self.commit) == Some(self.hard.term);
         let until = self.lease_start(lead) + self.timing.election - self.drift();
-        own_term && lead.successor.is_none() && now < until && self.applied == self.commit
+        // Members that hold a membership without this leader don't ask it before they elect another.
+        let is_voter = self.log.membership().is_voter(self.identity.id);
+        let in_charge = own_term && is_voter && lead.successor.is_none();
+        in_charge && now < until && self.applied == self.commit
     }
 
     /// Returns when the newest request was sent that a majority has answered.
@@ -301,6 +317,7 @@
 
     fn tick(&mut self) {
         self.tick_trust();
+        self.tick_promise();
         match &self.role {
             Role::Leader(_) => self.tick_leader(),
             _ if !self.trust.is_proved() => {}
@@ -325,8 +342,10 @@
                 self.on_append_reply(from, message.disk, message.term, reply);
             }
             Some(peer::Body::Snapshot(request)) => self.on_snapshot(from, message.term, request),
-            Some(peer::Body::Inquiry(_)) => self.on_inquiry(from, message.disk),
-            Some(peer::Body::InquiryReply(reply)) => self.on_inquiry_reply(from, reply),
+            Some(peer::Body::Inquiry(request)) => self.on_inquiry(from, message.disk, request),
+            Some(peer::Body::InquiryReply(reply)) => {
+                self.on_inquiry_reply(from, message.disk, reply);
+            }
             Some(peer::Body::Transfer(_)) if message.term == self.hard.term => {
                 self.begin_election(true);
             }
@@ -509,10 +528,22 @@
         self.effects.push(Effect::Report(Notice::SteppedDown { term }));
     }
 
-    /// Lets the first election begin soon: after a restart of all, nobody leads.
+    /// Lets an election begin soon: after a restart of all, nobody leads.
+    ///
+    /// The voters try one after the other, so that their votes don't split.
     pub(crate) fn hasten_election(&mut self) {
-        let election = self.timing.election;
-        self.deadline = self.now + self.rng.random_range(election / 10..election / 2);
+        let turn = self.timing.election / TURN_DIVISOR;
+        let voters = self.log.membership().voters.iter();
+        let before = voters.take_while(|voter| voter.id != self.identity.id.get()).count() as u64;
+        self.deadline = self.now + turn * (before + 1) + self.rng.random_range(0..=turn / 4);
+    }
+
+    /// Sets the time of the next election after one that may fail.
+    pub(crate) fn plan_retry(&mut self) {
+        match self.now < self.young_until {
+            true => self.hasten_election(),
+            false => self.reset_deadline(),
+        }
     }
 
     /// Sets the time at which the next election may begin.
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -9,6 +9,7 @@
 
 use crate::effect::{Effect, Refusal, Token};
 use crate::membership::{Members, MembershipError};
+use crate::promise::Promise;
 use crate::replica::{Identity, Leadership, Progress, Replica, Role};
 
 /// Entries in one request.
@@ -100,6 +101,7 @@
         }
         self.follow(term, Some(from));
         self.contact_at = self.now;
+        self.promise = Promise::to_leader(self.now + self.timing.election);
         self.reset_deadline();
         true
     }
--- a/crates/quorum/src/trust.rs
+++ b/crates/quorum/src/trust.rs
@@ -12,7 +12,7 @@
 
 use crate::effect::Millis;
 use crate::membership::Members;
-use crate::replica::Replica;
+use crate::replica::{Replica, Role};
 
 /// Election times after which a member goes on although some voter has not answered.
 const PATIENCE: u64 = 10;
@@ -76,21 +76,33 @@
         *again = now + heartbeat;
         let unanswered: Vec<_> = others.into_iter().filter(|id| !answered.contains(id)).collect();
         for id in unanswered {
-            self.send_now(id, peer::Body::Inquiry(InquiryRequest {}));
+            self.inquire(id);
         }
     }
 
-    pub(crate) fn on_inquiry(&mut self, from: MemberId, disk: u64) {
+    /// Asks another member what it knows of this one, and of a leader.
+    pub(crate) fn inquire(&mut self, id: MemberId) {
+        let life = self.promise.life();
+        self.send_now(id, peer::Body::Inquiry(InquiryRequest { life }));
+    }
+
+    pub(crate) fn on_inquiry(&mut self, from: MemberId, disk: u64, request: InquiryRequest) {
         let index = self.watermarks.get(&(from, disk)).copied().unwrap_or(0);
-        let watermark = Some(Watermark { id: from.get(), disk, index });
-        self.send_now(from, peer::Body::InquiryReply(InquiryReply { watermark }));
+        let reply = InquiryReply {
+            watermark: Some(Watermark { id: from.get(), disk, index }),
+            life: request.life,
+            led: matches!(self.role, Role::Leader(_)) || self.promise.is_to_leader(self.now),
+            membership: self.log.membership().digest(),
+        };
+        self.send_now(from, peer::Body::InquiryReply(reply));
     }
 
-    pub(crate) fn on_inquiry_reply(&mut self, from: MemberId, reply: InquiryReply) {
+    pub(crate) fn on_inquiry_reply(&mut self, from: MemberId, disk: u64, reply: InquiryReply) {
         self.learn_watermarks(reply.watermark.as_slice());
         if let Trust::Asking { answered, .. } = &mut self.trust {
             answered.insert(from);
         }
+        self.learn_quiet(from, disk, &reply);
     }
 
     /// Remembers watermarks and compares the member's own with its log.
--- a/crates/quorum/tests/consensus_model.rs
+++ b/crates/quorum/tests/consensus_model.rs
@@ -23,6 +23,8 @@
     Propose(u64),
     Crash(u64, usize),
     Restart(u64),
+    /// All members but one are killed and start again.
+    Herd(u64, usize),
     Cut(u64, u64),
     Heal,
     Freeze(u64),
@@ -71,6 +73,7 @@
         8 => member.clone().prop_map(Step::Propose),
         1 => (member.clone(), any::<usize>()).prop_map(|(m, kept)| Step::Crash(m, kept)),
         2 => member.clone().prop_map(Step::Restart),
+        1 => (0..6_u64, any::<usize>()).prop_map(|(m, kept)| Step::Herd(m, kept)),
         2 => (member.clone(), member.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
         1 => Just(Step::Heal),
         1 => member.clone().prop_map(Step::Freeze),
@@ -96,6 +99,13 @@
             }
             Step::Crash(number, kept) => cluster.crash(member(number), *kept),
             Step::Restart(number) => drop(cluster.restart(member(number))),
+            Step::Herd(spared, kept) => {
+                let herd = cluster.ids().into_iter().filter(|held| *held != id(spared + 1));
+                for killed in herd {
+                    cluster.crash(killed, *kept);
+                    cluster.restart(killed);
+                }
+            }
             Step::Cut(from, to) => cluster.cut(member(from), member(to), true),
             Step::Heal => cluster.heal(),
             Step::Freeze(number) => cluster.freeze(member(number), true),
--- /dev/null
+++ b/crates/quorum/tests/restart_votes.rs
@@ -0,0 +1,78 @@
+//! How soon restarted members elect a leader, and when they must wait.
+
+use kingcuplift_core::MemberId;
+use kingcuplift_testing::{Cluster, ELECTION};
+use rstest::rstest;
+
+/// Time between looks, in milliseconds.
+const STEP: u64 = 10;
+
+/// Lets time pass, with all messages delivered and all writes done, until there is a leader.
+fn time_to_leader(cluster: &mut Cluster, limit: u64) -> Option<u64> {
+    for step in 1..=limit / STEP {
+        cluster.advance(STEP);
+        for id in cluster.ids() {
+            cluster.sync(id);
+        }
+        for _ in 0..cluster.in_flight() {
+            cluster.deliver(0, false);
+        }
+        if cluster.leader().is_some() {
+            return Some(step * STEP);
+        }
+    }
+    None
+}
+
+fn restart(cluster: &mut Cluster, ids: &[MemberId]) {
+    for id in ids {
+        cluster.crash(*id, 0);
+    }
+    for id in ids {
+        assert!(cluster.restart(*id));
+    }
+}
+
+#[rstest]
+fn all_elect_soon(#[values(3, 4, 5)] size: u64, #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut cluster = Cluster::formed(size, 0, seed);
+    let all = cluster.ids();
+    restart(&mut cluster, &all);
+    let took = time_to_leader(&mut cluster, 4 * ELECTION).expect("a leader is elected");
+    assert!(took <= ELECTION, "{took} ms, nobody can hold a lease");
+    cluster.finish();
+}
+
+#[rstest]
+fn silent_voter_is_waited_for(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut cluster = Cluster::formed(5, 0, seed);
+    let leader = cluster.leader().expect("a leader");
+    cluster.freeze(leader, true);
+    let others: Vec<MemberId> = cluster.ids().into_iter().filter(|id| *id != leader).collect();
+    restart(&mut cluster, &others);
+    let lease = ELECTION * 9 / 10;
+    for _ in 0..lease / STEP {
+        cluster.advance(STEP);
+        for id in cluster.ids() {
+            cluster.sync(id);
+        }
+        for _ in 0..cluster.in_flight() {
+            cluster.deliver(0, false);
+        }
+        let elected = cluster.leader().is_some_and(|id| id != leader);
+        assert!(!elected, "the silent leader may still hold a lease");
+    }
+    cluster.freeze(leader, false);
+    cluster.finish();
+}
+
+#[rstest]
+fn lost_voter_costs_one_election_time(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut cluster = Cluster::formed(5, 0, seed);
+    let lost = cluster.ids()[0];
+    cluster.wipe(lost);
+    let others: Vec<MemberId> = cluster.ids().into_iter().filter(|id| *id != lost).collect();
+    restart(&mut cluster, &others);
+    let took = time_to_leader(&mut cluster, 6 * ELECTION).expect("a leader is elected");
+    assert!(took <= 2 * ELECTION, "{took} ms");
+}
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -54,6 +54,8 @@
     Run(CallId),
     /// The call can't be answered before its deadline.
     Expired(CallId),
+    /// The target takes no call any more.
+    Closed(CallId),
 }
 
 /// When a call's answer is worth what, in microseconds on the clock of the admission.
@@ -108,6 +110,14 @@
     }
 }
 
+/// Whether calls are admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Closing {
+    Open,
+    /// No call arrives any more; those that wait may run until a time, in microseconds.
+    Until(u64),
+}
+
 /// Admission state of one target. Times are in microseconds on one monotonic clock.
 #[derive(Debug)]
 pub struct Admission {
@@ -118,7 +128,7 @@
     arrivals: u64,
     releases: u64,
     service_us: u64,
-    is_open: bool,
+    closing: Closing,
     pace: Option<Pace>,
     /// How long calls of each rank have waited of late, in microseconds.
     waits: HashMap<Rank, u64>,
@@ -135,7 +145,7 @@
             arrivals: 0,
             releases: 0,
             service_us: 0,
-            is_open: true,
+            closing: Closing::Open,
             pace: None,
             waits: HashMap::new(),
         }
@@ -183,14 +193,27 @@
         self.limits = limits;
     }
 
-    /// Refuses all calls that arrive from now on.
-    pub fn close(&mut self) {
-        self.is_open = false;
+    /// Refuses all calls that arrive from now on, and from `until_us` on those that wait.
+    ///
+    /// A gate that is closed already keeps the earlier time.
+    pub fn close(&mut self, until_us: u64) {
+        let until_us = match self.closing {
+            Closing::Open => until_us,
+            Closing::Until(earlier) => earlier.min(until_us),
+        };
+        self.closing = Closing::Until(until_us);
     }
 
     /// Admits calls again after [`Self::close`].
     pub fn open(&mut self) {
-        self.is_open = true;
+        self.closing = Closing::Open;
+    }
+
+    /// Refuses the calls that still wait for a target that takes none any more.
+    fn release_closed(&mut self) -> Vec<Release> {
+        self.places.clear();
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_values().map(|call| Release::Closed(call.id)).collect()
     }
 
     /// Returns the number of running calls.
@@ -217,7 +240,7 @@
     pub fn arrive_by(&mut self, id: CallId, rank: Rank, times: CallTimes, now_us: u64) -> Decision {
         let is_due = self.pace.is_none_or(|pace| pace.is_due(now_us));
         match () {
-            () if !self.is_open => return Decision::Refuse(ResultCode::Draining),
+            () if self.closing != Closing::Open => return Decision::Refuse(ResultCode::Draining),
             () if now_us >= times.deadline_us => {
                 return Decision::Refuse(ResultCode::DeadlineBefore);
             }
@@ -304,6 +327,9 @@
 
     /// Gives free slots to waiting calls and drops those that are too late.
     pub fn release(&mut self, now_us: u64) -> Vec<Release> {
+        if matches!(self.closing, Closing::Until(until_us) if now_us >= until_us) {
+            return self.release_closed();
+        }
         let mut released = Vec::new();
         while self.running < self.limits.slots && self.pace.is_none_or(|pace| pace.is_due(now_us)) {
             let Some(place) = self.next_place() else { break };
--- a/crates/traffic/tests/admission_rules.rs
+++ b/crates/traffic/tests/admission_rules.rs
@@ -80,6 +80,7 @@
     fn released(&mut self, released: Vec<Release>) {
         for release in released {
             match release {
+                Release::Closed(id) => panic!("call {id}: the gate was never closed"),
                 Release::Run(id) => {
                     let call = self.waiting.remove(&id).expect("a released call waited");
                     assert!(self.now + self.average < call.deadline, "a late call does not run");
@@ -171,13 +172,28 @@
 #[test]
 fn closed_gate_refuses() {
     let mut admission = Admission::new(Limits { slots: 1, queue: 1 });
-    admission.close();
+    admission.close(5);
     let decision = admission.arrive(1, Rank::FIRST, 10, 0);
     assert_eq!(decision, Decision::Refuse(ResultCode::Draining));
     admission.open();
     assert_eq!(admission.arrive(2, Rank::FIRST, 10, 0), Decision::Run);
 }
 
+#[test]
+fn closed_gate_empties() {
+    let mut admission = Admission::new(Limits { slots: 1, queue: 9 });
+    assert_eq!(admission.arrive(0, Rank::FIRST, u64::MAX, 0), Decision::Run);
+    for id in 1..4 {
+        admission.arrive(id, Rank::FIRST, u64::MAX, 0);
+    }
+    admission.close(1_000);
+    assert_eq!(admission.finish(10, 500), [Release::Run(1)], "calls that wait may still run");
+    admission.close(9_000);
+    let rest = admission.release(1_000);
+    assert_eq!(rest, [Release::Closed(2), Release::Closed(3)], "the earlier time counts");
+    assert!(admission.finish(10, 1_100).is_empty() && admission.is_idle());
+}
+
 #[test]
 fn hopeless_call_is_refused() {
     let mut admission = Admission::new(Limits { slots: 1, queue: 100 });
