No herds at targets that join; a cold target holds nobody late

Cause: a node took a target of which it had heard nothing for a second for idle, so all nodes sent their next calls to the same one.

Now the load of a target without word counts as the average of the others, an announcement says for how long a target is cold, and a cold target's gate refuses what would miss its objective, so that it goes elsewhere.

Ruled out: the storm of configurations in the same seconds (late calls went to the joined targets only).

--- a/crates/daemon/src/node/control/locals.rs
+++ b/crates/daemon/src/node/control/locals.rs
@@ -74,18 +74,29 @@
         let is_out = is_out(self.feed.document(), self.shared.zone.as_str());
         let is_back = std::mem::replace(&mut self.is_out, is_out) && !is_out;
         let locals = self.shared.locals.load_full();
+        let mut cold = Vec::new();
         for (key, lease) in self.leases.iter() {
             let Some(local) = locals.get(key) else { continue };
             local.gate.set_limits(self.limits(key, lease));
             self.follow_state(key, local);
-            let Some(known) = self.lives.get(key) else { continue };
+            if !self.lives.contains_key(key) {
+                continue;
+            }
             // What it did while its zone got no calls is unknown; its next report says whether it is cold.
             let assumed = if is_back { self.warmup(key) } else { Duration::ZERO };
-            let left = Duration::from_millis(known.warm_at.saturating_sub(monotonic_ms()));
-            let warmup = assumed.max(left);
+            let warmup = assumed.max(self.cold_for(key));
             if !warmup.is_zero() {
                 local.gate.set_pace(self.warmup_rate(key), warmup);
             }
+            if !assumed.is_zero() {
+                cold.push((key.clone(), monotonic_ms() + assumed.as_millis() as u64));
+            }
+        }
+        for (key, warm_at) in cold {
+            if let Some(known) = self.lives.get_mut(&key) {
+                known.warm_at = known.warm_at.max(warm_at);
+            }
+            self.publish_anew(&key);
         }
     }
 
@@ -108,6 +119,12 @@
         }
     }
 
+    /// Returns for how long a target beside this node stays cold.
+    fn cold_for(&self, key: &TargetKey) -> Duration {
+        let warm_at = self.lives.get(key).map_or(0, |known| known.warm_at);
+        Duration::from_millis(warm_at.saturating_sub(monotonic_ms()))
+    }
+
     fn warmup(&self, key: &TargetKey) -> Duration {
         service_spec(self.feed.document(), &key.service).map_or(Duration::ZERO, |spec| spec.warmup)
     }
@@ -148,6 +165,7 @@
         };
         let limits = self.limits(&key, &lease);
         let before = self.state_of(&key);
+        let was_cold = !self.cold_for(&key).is_zero();
         let changed = self.leases.renew(key.clone(), lease);
         let same_life = self.follow_life(&key, message.life.as_ref());
         let locals = self.shared.locals.load();
@@ -164,7 +182,8 @@
         }
         local.gate.set_limits(limits);
         self.follow_state(&key, &local);
-        if changed || !same_life || before != self.state_of(&key) {
+        let is_cold = !self.cold_for(&key).is_zero();
+        if changed || !same_life || before != self.state_of(&key) || is_cold != was_cold {
             self.publish_anew(&key);
         }
     }
@@ -317,6 +336,7 @@
                 .map(|known| known.life.instance.to_string())
                 .unwrap_or_default(),
             born: self.lives.get(key).map_or(0, |known| known.life.born),
+            cold_ms: self.cold_for(key).as_millis() as u32,
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -284,7 +284,11 @@
         let wait_us = self.expected_wait(rank, now_us).max(seen);
         let answered_us = now_us + wait_us + self.expected_service(times);
         let has_objective = times.objective_us < times.deadline_us;
-        let few = (self.limits.slots / FEW_DIVISOR).max(1) as usize;
+        let few = match self.is_paced(now_us) {
+            // Another target may be warm.
+            true => 0,
+            false => (self.limits.slots / FEW_DIVISOR).max(1) as usize,
+        };
         has_objective && answered_us >= times.objective_us && alike >= few
     }
 
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -2,7 +2,8 @@
 //!
 //! The cost is the value that is expected to be lost: the chance that the answer comes after the call's objective,
 //! failures as seen in answers, and the way to another availability zone. What a target's node said of its load
-//! counts for a short time; calls sent since are added to it.
+//! counts for a short time; calls sent since are added to it. A target of which nothing has been heard of late is
+//! taken for as busy as the others, and a cold one for worse: else all nodes would find the same idle target.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
@@ -34,6 +35,8 @@
 const WAIT_COST: f64 = 0.1;
 /// Cost of load by itself, when all slots are in use.
 const LOAD_COST: f64 = 0.06;
+/// Cost of a target that has just said that it is cold.
+const COLD_COST: f64 = 0.25;
 /// Largest random part of the cost; it keeps nodes from choosing alike.
 const NOISE: f64 = 0.02;
 /// Time for which a reported load counts, in milliseconds.
@@ -112,6 +115,8 @@
     /// Calls of this node that ran when the report came.
     running_then: AtomicU32,
     reported_at: AtomicU64,
+    /// Time until which the target is cold, in milliseconds.
+    cold_until: AtomicU64,
     /// Part of failed calls, as bits of an `f32`.
     failures: AtomicU32,
     failed_at: AtomicU64,
@@ -135,6 +140,7 @@
             limit: AtomicU32::new(0),
             running_then: AtomicU32::new(0),
             reported_at: AtomicU64::new(0),
+            cold_until: AtomicU64::new(0),
             failures: AtomicU32::new(0),
             failed_at: AtomicU64::new(0),
             slowness: AtomicU32::new(1.0_f32.to_bits()),
@@ -148,6 +154,11 @@
         self
     }
 
+    /// Records until when the target is cold, as it was announced.
+    pub fn expect_cold(&self, until_ms: u64) {
+        self.cold_until.store(until_ms, Ordering::Relaxed);
+    }
+
     /// Records that a call was sent.
     pub fn begin(&self) {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -202,12 +213,27 @@
         held * 0.5_f32.powf(age as f32 / FORGIVENESS as f32)
     }
 
+    /// Returns the part of the slots in use, if the target's node said so of late.
+    fn reported_use(&self, now_ms: u64) -> Option<f64> {
+        self.is_reported(now_ms).then(|| {
+            let (busy, limit) = self.load(now_ms, 0.0);
+            busy / limit
+        })
+    }
+
+    fn is_reported(&self, now_ms: u64) -> bool {
+        let reported_at = self.reported_at.load(Ordering::Relaxed);
+        reported_at != 0 && now_ms <= reported_at + REPORT_LIFE
+    }
+
     /// Returns the calls that run or wait, and the limit, as far as this node can tell.
-    fn load(&self, now_ms: u64) -> (f64, f64) {
+    ///
+    /// `typical` is the part of their slots that other targets use.
+    fn load(&self, now_ms: u64, typical: f64) -> (f64, f64) {
         let own = self.running.load(Ordering::Relaxed);
-        let reported_at = self.reported_at.load(Ordering::Relaxed);
-        if reported_at == 0 || now_ms > reported_at + REPORT_LIFE {
-            return (f64::from(own), f64::from(self.slots));
+        if !self.is_reported(now_ms) {
+            let slots = f64::from(self.slots);
+            return (f64::from(own).max(typical * slots), slots);
         }
         let then = self.running_then.load(Ordering::Relaxed);
         let since = f64::from(own) - f64::from(then);
@@ -216,8 +242,8 @@
     }
 
     /// Returns the expected cost of one more call, as a part of its value.
-    pub fn cost(&self, zone: &ZoneName, shape: CallShape, now_ms: u64) -> f64 {
-        let (busy, limit) = self.load(now_ms);
+    fn cost(&self, zone: &ZoneName, shape: CallShape, now_ms: u64, typical: f64) -> f64 {
+        let (busy, limit) = self.load(now_ms, typical);
         let used = busy / limit;
         let slower = match used {
             used if used >= 1.0 => FULL_TIME + (busy - limit + 1.0) / limit,
@@ -229,7 +255,9 @@
         let away = if self.zone == *zone { 0.0 } else { ZONE_COST };
         let failures = f64::from(self.failure_part(now_ms)) * FAILURE_COST;
         let waiting = if used >= 1.0 { WAIT_COST } else { 0.0 };
+        let cold = if now_ms < self.cold_until.load(Ordering::Relaxed) { COLD_COST } else { 0.0 };
         late + waiting
+            + cold
             + part.min(MOST_LATENESS) * TIME_COST
             + used.min(1.0) * LOAD_COST
             + away
@@ -250,6 +278,7 @@
     now_ms: u64,
     rng: &mut impl Rng,
 ) -> Option<&'a C> {
+    let typical = typical_use(candidates, now_ms);
     let mut best: Option<(bool, f64, &C)> = None;
     for held in candidates {
         let candidate = held.as_ref();
@@ -263,7 +292,7 @@
             false => 0.0,
         };
         let noise = rng.random::<f64>() * NOISE;
-        let cost = candidate.cost(wanted.zone, wanted.shape, now_ms) + reserve + noise;
+        let cost = candidate.cost(wanted.zone, wanted.shape, now_ms, typical) + reserve + noise;
         let better =
             best.is_none_or(|(was_avoided, least, _)| (avoided, cost) < (was_avoided, least));
         if better {
@@ -272,3 +301,11 @@
     }
     best.map(|(_, _, held)| held)
 }
+
+/// Returns the part of their slots that targets use on average, as far as they said so of late.
+fn typical_use<C: AsRef<Candidate>>(candidates: &[C], now_ms: u64) -> f64 {
+    let known = candidates.iter().filter_map(|held| held.as_ref().reported_use(now_ms));
+    let (count, sum) =
+        known.fold((0_u32, 0.0), |(count, sum), used| (count + 1, sum + used.min(1.0)));
+    sum / f64::from(count.max(1))
+}
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -96,6 +96,11 @@
         self.held.get(key).map(|held| &held.target)
     }
 
+    /// Returns until when a target is cold, as far as its announcement says, on the clock of [`Self::merge`].
+    pub fn cold_until(&self, key: &TargetKey) -> u64 {
+        self.held.get(key).map_or(0, |held| held.changed_ms + u64::from(held.target.cold_ms))
+    }
+
     /// Returns the targets of one service, in order of address.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (&TargetKey, &Target)> {
         let keys = self.services.get(service).into_iter().flatten();
--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -157,7 +157,7 @@
         let candidates: Vec<Arc<Candidate>> = table
             .of_service(name)
             .filter(|(_, target)| takes_calls(document, target, &serving))
-            .filter_map(|(key, target)| candidate(known, key, target))
+            .filter_map(|(key, target)| candidate(known, key, target, table.cold_until(key)))
             .collect();
         let reserve = reserve(&candidates, &serving);
         let view = ServiceView { spec: spec.clone(), candidates, serving, reserve };
@@ -251,7 +251,12 @@
 }
 
 /// Returns the candidate of a target, keeping what is known of its load.
-fn candidate(known: &[Arc<Candidate>], key: &TargetKey, target: &Target) -> Option<Arc<Candidate>> {
+fn candidate(
+    known: &[Arc<Candidate>],
+    key: &TargetKey,
+    target: &Target,
+    cold_until: u64,
+) -> Option<Arc<Candidate>> {
     let same = |held: &&Arc<Candidate>| {
         held.key == *key
             && held.peer == target.peer
@@ -259,10 +264,13 @@
             && held.instance == target.instance
     };
     if let Some(held) = known.iter().find(same) {
+        held.expect_cold(cold_until);
         return Some(Arc::clone(held));
     }
     let zone = target.zone.parse().ok()?;
     let instance = SmolStr::new(&target.instance);
     let peer = target.peer.clone();
-    Some(Arc::new(Candidate::new(key.clone(), zone, peer, target.slots).of_instance(instance)))
+    let made = Candidate::new(key.clone(), zone, peer, target.slots).of_instance(instance);
+    made.expect_cold(cold_until);
+    Some(Arc::new(made))
 }
--- a/crates/traffic/tests/overload_order.rs
+++ b/crates/traffic/tests/overload_order.rs
@@ -117,6 +117,24 @@
     assert_eq!(admission.release(SECOND).len(), 20 - ran, "warm targets get all slots");
 }
 
+/// A cold target has one call that waits; the next would wait past its objective, and another target may be warm.
+#[test]
+fn cold_target_holds_nobody_late() {
+    let mut admission = Admission::new(Limits { slots: 30, queue: 100 });
+    admission.set_pace(PerSecond::new(10.0), 60 * SECOND, 0);
+    let times = |now: u64| CallTimes {
+        objective_us: now + 250 * MS,
+        deadline_us: now + 2 * SECOND,
+        service_us: 50 * MS,
+    };
+    let decisions: Vec<Decision> =
+        (0..6).map(|id| admission.arrive_by(id, Rank::FIRST, times(0), 0)).collect();
+    let waiting = decisions.iter().filter(|d| matches!(d, Decision::Wait { .. })).count();
+    let refused = Decision::Refuse(ResultCode::Overloaded);
+    assert_eq!((decisions[0], decisions[5]), (Decision::Run, refused), "{decisions:?}");
+    assert!(waiting > 0, "one that comes in time waits: {decisions:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 200,
--- a/crates/traffic/tests/target_choice.rs
+++ b/crates/traffic/tests/target_choice.rs
@@ -2,12 +2,16 @@
 
 use std::sync::Arc;
 
-use kingcuplift_traffic::{CallShape, Candidate, TargetKey, Wanted, choose};
+use kingcuplift_traffic::{CallShape, Candidate, LoadReport, TargetKey, Wanted, choose};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 /// Draws of one test.
 const DRAWS: usize = 2_000;
+/// Nodes that choose at the same moment.
+const NODES: u64 = 400;
+/// Time of the choice, in milliseconds.
+const NOW: u64 = 5_000;
 /// Slots of each target.
 const SLOTS: u32 = 20;
 
@@ -83,3 +87,57 @@
     let counts = draw(&candidates, &[], 10_001);
     assert_eq!(counts.iter().sum::<usize>(), DRAWS, "avoided targets are better than none");
 }
+
+/// Lets each of many nodes, that know nothing of each other, choose once among targets of its own zone.
+fn herd(prepare: impl Fn(&[Arc<Candidate>])) -> Vec<usize> {
+    let zone = "a".parse().expect("a zone");
+    let mut counts = vec![0; 8];
+    for node in 0..NODES {
+        let candidates: Vec<_> = (0..8).map(|n| candidate(&n.to_string(), "a")).collect();
+        prepare(&candidates);
+        let shape = CallShape::default();
+        let wanted = Wanted { zone: &zone, version: None, tried: &[], reserve: &[], shape };
+        let mut rng = SmallRng::seed_from_u64(node);
+        let chosen = choose(&candidates, wanted, NOW, &mut rng).expect("a target");
+        let at = candidates.iter().position(|c| c.key == chosen.key).expect("a candidate");
+        counts[at] += 1;
+    }
+    counts
+}
+
+#[test]
+fn joined_target_meets_no_herd() {
+    let busy = LoadReport { busy: SLOTS / 2, limit: SLOTS };
+    let counts = herd(|candidates| {
+        for known in &candidates[..7] {
+            known.report(busy, NOW - 10);
+        }
+    });
+    let share = NODES as usize / 8;
+    assert!(counts[7] < 2 * share, "a target that nobody knows is no better: {counts:?}");
+    assert!(counts[7] > 0, "nor is it left out");
+}
+
+#[test]
+fn cold_target_is_spared() {
+    let busy = LoadReport { busy: SLOTS / 2, limit: SLOTS };
+    let cold = |until_ms| {
+        move |candidates: &[Arc<Candidate>]| {
+            for known in &candidates[..7] {
+                known.report(busy, NOW - 10);
+            }
+            candidates[7].expect_cold(until_ms);
+        }
+    };
+    assert_eq!(herd(cold(NOW + 1))[7], 0, "while others have room");
+    assert!(herd(cold(NOW))[7] > 0, "it is warm by now");
+    let full = LoadReport { busy: 2 * SLOTS, limit: SLOTS };
+    let counts = herd(|candidates| {
+        for known in &candidates[..7] {
+            known.report(full, NOW - 10);
+        }
+        candidates[7].report(LoadReport { busy: 1, limit: 4 }, NOW - 10);
+        candidates[7].expect_cold(NOW + 1_000);
+    });
+    assert!(counts[7] > 0, "it helps out when the others are full");
+}
