Test the recovery of the budget with repeats after a run

It now names the reason, a repeat after a run, for which that bound was meant; repeats of calls that have not run are bounded by few_calls_have_slack.

--- a/crates/traffic/tests/retry_budget.rs
+++ b/crates/traffic/tests/retry_budget.rs
@@ -58,7 +58,8 @@
     let limits = RepeatLimits::default();
     let mut budget = RepeatBudget::new(limits);
     let service = SmolStr::new("desk");
-    let mut spend_all = |now| (0..100).filter(|_| budget.spend(&service, 1, RepeatReason::NotRun, now)).count();
+    let mut spend_all =
+        |now| (0..100).filter(|_| budget.spend(&service, 1, RepeatReason::Unanswered, now)).count();
     let first = spend_all(0);
     assert!((1..=10).contains(&first), "{first} repeats without a call");
     assert_eq!(spend_all(limits.window_ms / 2), 0, "the window is not over");
