Notice member links that have gone silent; receive signals before the roles start

Members only wrote on their links, so nobody noticed: the member heard of no leader for good, though it sent pre-votes every other second. Links between members now carry beats back to the sender, and 1.4 s of silence ends them, as on the links of relays and nodes.

Found by the soak: a member that was told to reload as it started was ended by the signal, since handlers were installed after the roles. They now come first; the soak leaves a process alone for its first 0.3 s, as no program can catch a signal before it runs.

Ruled out: the user timeout of TCP (what stands in between acknowledges the bytes), the proxies (the member's own connections worked).

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -25,6 +25,9 @@
         /// Error.
         source: std::io::Error,
     },
+    /// The signals to stop can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(#[source] std::io::Error),
     /// The settings hold faults.
     #[error("the settings are faulty: {0}")]
     Faulty(Faults),
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -22,7 +22,6 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
@@ -138,8 +137,8 @@
 #[derive(Debug)]
 pub(crate) enum Link {
     Quic(Connection),
-    /// The only stream, until it is taken, and the half that shows the end of a one-way stream.
-    Tcp(Option<TcpStream>, Option<OwnedReadHalf>),
+    /// The only stream, until it is taken.
+    Tcp(Option<TcpStream>),
 }
 
 /// An accepted connection with what its certificate or greeting grants.
@@ -226,7 +225,7 @@
                 let mut stream = TcpStream::connect(address).await?;
                 watch(&stream)?;
                 greet(&mut stream, own, protocol).await?;
-                Ok(Link::Tcp(Some(stream), None))
+                Ok(Link::Tcp(Some(stream)))
             }
         }
     }
@@ -300,11 +299,7 @@
     else {
         return Err(LinkError::NoGrant);
     };
-    Ok(Accepted {
-        link: Link::Tcp(Some(stream), None),
-        grant: Grant { name, zone, roles },
-        protocol,
-    })
+    Ok(Accepted { link: Link::Tcp(Some(stream)), grant: Grant { name, zone, roles }, protocol })
 }
 
 fn find_protocol(name: &[u8]) -> Result<Protocol, LinkError> {
@@ -341,41 +336,6 @@
         }
     }
 
-    /// Opens a stream for sending.
-    pub(crate) async fn open_sending(&mut self) -> Result<Outgoing, LinkError> {
-        match self {
-            Self::Quic(connection) => Ok(Box::pin(connection.open_uni().await?)),
-            Self::Tcp(stream, rest) => {
-                let (receive, send) = stream.take().ok_or(LinkError::Taken)?.into_split();
-                *rest = Some(receive);
-                Ok(Box::pin(send))
-            }
-        }
-    }
-
-    /// Accepts a stream for receiving.
-    pub(crate) async fn accept_receiving(&mut self) -> Result<Incoming, LinkError> {
-        match self {
-            Self::Quic(connection) => Ok(Box::pin(connection.accept_uni().await?)),
-            Self::Tcp(stream, _) => Ok(Box::pin(stream.take().ok_or(LinkError::Taken)?)),
-        }
-    }
-
-    /// Waits until the connection has ended.
-    pub(crate) async fn closed(&mut self) -> LinkError {
-        match self {
-            Self::Quic(connection) => connection.closed().await.into(),
-            Self::Tcp(_, Some(rest)) => {
-                let mut byte = [0];
-                match rest.read(&mut byte).await {
-                    Ok(_) => LinkError::Ended,
-                    Err(error) => error.into(),
-                }
-            }
-            Self::Tcp(..) => LinkError::Ended,
-        }
-    }
-
     /// Returns the QUIC connection, whose bytes are counted.
     pub(crate) fn quic(&self) -> Option<&Connection> {
         match self {
@@ -386,7 +346,7 @@
 
     fn take_both(&mut self) -> Result<(Outgoing, Incoming), LinkError> {
         match self {
-            Self::Tcp(stream, _) => {
+            Self::Tcp(stream) => {
                 let (receive, send) = stream.take().ok_or(LinkError::Taken)?.into_split();
                 Ok((Box::pin(send), Box::pin(receive)))
             }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -8,7 +8,7 @@
 use actix::{Actor, Addr};
 use actix_web::dev::{Server, ServerHandle};
 use kingcuplift_core::{Event, logger};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::Arguments;
 use crate::credentials;
@@ -69,6 +69,8 @@
 }
 
 async fn serve(options: Options, path: &Path) -> Result<(), StartError> {
+    // A signal that comes while the roles start must not end the process by default.
+    let signals = Signals::listen().map_err(StartError::Signals)?;
     let credentials = credentials::load(&options)?;
     let mut running = Running::default();
     if let Some(source) = &options.source {
@@ -82,7 +84,7 @@
     }
     actix::spawn(credentials::follow(options.keys.clone(), running.endpoints.clone()));
     Event::ProcessStarted.emit(&[("process", &options.name), ("zone", &options.zone)]);
-    wait_for_stop(&running, path, &options).await;
+    wait_for_stop(&running, signals, path, &options).await;
     Event::ProcessStopping.emit(&[("process", &options.name)]);
     running.stop().await;
     Event::ProcessStopped.emit(&[("process", &options.name)]);
@@ -215,19 +217,32 @@
     }
 }
 
+/// Signals that the process follows.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for the signal to stop; follows the settings file until then.
-async fn wait_for_stop(running: &Running, path: &Path, options: &Options) {
-    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
-    let [Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)] = signals.map(signal) else {
-        log::error!("the signals to stop can't be received; kill the process to end it");
-        return std::future::pending().await;
-    };
+async fn wait_for_stop(running: &Running, mut signals: Signals, path: &Path, options: &Options) {
     let mut text = std::fs::read_to_string(path).unwrap_or_default();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hangup.recv() => running.reload(path, &mut text, options).await,
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => running.reload(path, &mut text, options).await,
             () = tokio::time::sleep(SETTINGS_POLL) => running.reload(path, &mut text, options).await,
         }
     }
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -15,6 +15,8 @@
 
 /// Time between beats on a link.
 pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Silence after which a link counts as lost; beats come more than three times as often.
+pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
 /// Longest time for a peer to close a link after a redirect.
 const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
--- a/crates/daemon/src/source/links.rs
+++ b/crates/daemon/src/source/links.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::link::{Accepted, Endpoint, LinkError, Reader, Writer, complete};
-use crate::session;
+use crate::session::{self, BEAT_INTERVAL, SILENCE_LIMIT};
 use crate::source::SourceActor;
 
 /// Shortest time between two sends to one relay.
@@ -27,7 +27,8 @@
 
 /// Starts the sender to one member and returns its queue.
 ///
-/// A link is opened when there is something to send.
+/// A link is opened when there is something to send. The member at the other end sends beats back: a link that has
+/// gone silent shows in no other way, and another one may work.
 pub(crate) fn dial_member(endpoint: Endpoint, address: SocketAddr) -> mpsc::Sender<Box<Peer>> {
     let (sender, mut queue) = mpsc::channel(QUEUE);
     actix::spawn(async move {
@@ -53,15 +54,32 @@
     let mut link = tokio::time::timeout(endpoint.connect_limit(), connecting)
         .await
         .map_err(|_elapsed| LinkError::Connection(quinn::ConnectionError::TimedOut))??;
-    let mut writer: Writer<Peer> = Writer::new(link.open_sending().await?);
+    let (send, receive) = link.open_both().await?;
+    let mut writer: Writer<Peer> = Writer::new(send);
     writer.send(&first).await?;
+    tokio::select! {
+        outcome = write_all(writer, queue) => outcome,
+        reason = hear_beats(Reader::new(receive)) => Err(reason),
+    }
+}
+
+async fn write_all(
+    mut writer: Writer<Peer>,
+    queue: &mut mpsc::Receiver<Box<Peer>>,
+) -> Result<(), LinkError> {
+    while let Some(message) = queue.recv().await {
+        writer.send(&message).await?;
+    }
+    Ok(())
+}
+
+/// Reads the beats of a member until the link ends or has gone silent.
+async fn hear_beats(mut reader: Reader<Peer>) -> LinkError {
     loop {
-        tokio::select! {
-            message = queue.recv() => match message {
-                Some(message) => writer.send(&message).await?,
-                None => return Ok(()),
-            },
-            reason = link.closed() => return Err(reason),
+        match tokio::time::timeout(SILENCE_LIMIT, reader.receive()).await {
+            Ok(Ok(_beat)) => {}
+            Ok(Err(error)) => return error,
+            Err(_elapsed) => return LinkError::Silent,
         }
     }
 }
@@ -89,11 +107,28 @@
         Event::LinkRefused.emit(&[("peer", &accepted.grant.name), ("wanted", &Role::Source)]);
         return;
     }
-    let Ok(stream) = accepted.link.accept_receiving().await else { return };
-    let mut reader: Reader<Peer> = Reader::new(stream);
+    let Ok((send, receive)) = accepted.link.accept_both().await else { return };
+    tokio::select! {
+        () = hand_on(Reader::new(receive), actor) => {}
+        error = send_beats(Writer::new(send)) => log::debug!("a member's link ended: {error}"),
+    }
+}
+
+/// Hands messages to the actor until the link ends.
+async fn hand_on(mut reader: Reader<Peer>, actor: Addr<SourceActor>) {
     while let Ok(message) = reader.receive().await {
         if actor.send(FromPeer(Box::new(message))).await.is_err() {
             return;
         }
     }
 }
+
+/// Shows the sender that the link still passes what it sends.
+async fn send_beats(mut writer: Writer<Peer>) -> LinkError {
+    loop {
+        tokio::time::sleep(BEAT_INTERVAL).await;
+        if let Err(error) = writer.send(&Peer::default()).await {
+            return error;
+        }
+    }
+}
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -15,13 +15,12 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::link::{Endpoint, LinkError, Reader, Writer};
+use crate::session::SILENCE_LIMIT;
 
 /// Shortest time before the next connection attempt, in milliseconds.
 const FIRST_DELAY: u64 = 50;
 /// Longest time before the next connection attempt, in milliseconds.
 const MAX_DELAY: u64 = 800;
-/// Silence after which a link counts as lost; beats come more than three times as often.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
 /// Time without word of a current leader after which another process is tried, at first.
 const STALE_LIMIT: Duration = Duration::from_millis(800);
 /// Doublings of that time while no process has word of a leader.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -18,4 +18,4 @@
 pub use process::binary;
 pub use scripted::{Script, ScriptedTarget, Seen};
 pub use site::{Reply, Site, SiteBuilder};
-pub use soak::{SoakOptions, SoakReport, run_soak};
+pub use soak::{Harm, Proxy, SoakOptions, SoakReport, run_soak};
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -17,7 +17,7 @@
 
 use self::backend::{Backend, Runs};
 use self::load::{Seen, Shared, lock};
-use self::proxy::{Harm, Proxy};
+pub use self::proxy::{Harm, Proxy};
 use crate::open_site::{OpenSite, follow, request};
 
 /// Threads that send calls.
@@ -28,6 +28,8 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Least time between two wipes; the first wiped member must have been replaced by then.
 const WIPE_PAUSE: Duration = Duration::from_secs(9);
+/// Time after its start in which a process may not catch signals yet.
+const YOUTH: Duration = Duration::from_millis(300);
 /// Delay of a link that is harmed so.
 const LINK_DELAY: Duration = Duration::from_millis(60);
 
@@ -134,9 +136,14 @@
     made: Vec<String>,
     began: Instant,
     wiped_at: Option<Instant>,
+    started: BTreeMap<String, Instant>,
 }
 
 impl Soak {
+    fn is_young(&self, name: &str) -> bool {
+        self.started.get(name).is_some_and(|at| at.elapsed() < YOUTH)
+    }
+
     fn note(&mut self, text: String) {
         self.made.push(format!("{:.2} {text}", self.began.elapsed().as_secs_f64()));
     }
@@ -188,6 +195,8 @@
                 self.site.wait_ended(&name);
                 self.later(Remedy::Start(name.clone()));
             }
+            // A process that has only just been started can't catch signals yet.
+            Fault::Reload if self.is_young(&name) => return,
             Fault::Reload => self.site.signal(&name, "-HUP"),
             Fault::Wipe if is_core && self.may_wipe() => {
                 self.site.kill(&name);
@@ -225,7 +234,10 @@
         let due: Vec<(Instant, Remedy)> = due;
         for (_, remedy) in due {
             match remedy {
-                Remedy::Start(name) => self.site.start_process(&name),
+                Remedy::Start(name) => {
+                    self.site.start_process(&name);
+                    self.started.insert(name, now);
+                }
                 Remedy::Resume(name) => self.site.signal(&name, "-CONT"),
                 Remedy::Heal(name) => self.proxies[&name].iter().for_each(|p| p.set(Harm::None)),
             }
@@ -260,6 +272,7 @@
         made: Vec::new(),
         began: Instant::now(),
         wiped_at: None,
+        started: BTreeMap::new(),
     };
     let (seen, is_over) = (Arc::clone(&shared.0), Arc::clone(&shared.1));
     confirm_first(&soak.site, &seen);
--- a/crates/testing/src/soak/proxy.rs
+++ b/crates/testing/src/soak/proxy.rs
@@ -15,7 +15,8 @@
 
 /// What a proxy does to the bytes that pass.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) enum Harm {
+pub enum Harm {
+    /// Nothing is harmed.
     #[default]
     None,
     /// All bytes come late.
@@ -52,14 +53,14 @@
 
 /// A proxy before one address.
 #[derive(Debug, Clone)]
-pub(crate) struct Proxy {
+pub struct Proxy {
     state: Arc<State>,
     to: SocketAddr,
 }
 
 impl Proxy {
     /// Starts a proxy; its threads end soon after [`Self::end`].
-    pub(crate) fn start(at: &str, to: &str) -> Self {
+    pub fn start(at: &str, to: &str) -> Self {
         let listener = TcpListener::bind(at).expect("the front's address is free");
         listener.set_nonblocking(true).expect("a listener can be polled");
         let to = to.parse().expect("an address");
@@ -70,24 +71,24 @@
     }
 
     /// Sets the harm for all connections, present and later.
-    pub(crate) fn set(&self, harm: Harm) {
+    pub fn set(&self, harm: Harm) {
         *self.state.harm.lock().unwrap_or_else(PoisonError::into_inner) = harm;
     }
 
     /// Resets all present connections.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         let opened = self.state.opened.load(Ordering::Acquire);
         self.state.reset_below.store(opened, Ordering::Release);
     }
 
     /// Lets all present connections pass nothing any more; later ones work.
-    pub(crate) fn silence(&self) {
+    pub fn silence(&self) {
         let opened = self.state.opened.load(Ordering::Acquire);
         self.state.silent_below.store(opened, Ordering::Release);
     }
 
     /// Ends the proxy.
-    pub(crate) fn end(&self) {
+    pub fn end(&self) {
         self.state.is_over.store(true, Ordering::Release);
     }
 
