A restarted member tries to be elected only once its vote is free

Cause, found in reading: a restarted member withheld its vote from others for an election time, but gave it to itself. One that had just answered the leader, restarted and was cut off from it won with another that had lost the leader earlier, while the leader still read by its lease.

A single voter is free at once, as before.

--- a/crates/quorum/src/promise.rs
+++ b/crates/quorum/src/promise.rs
@@ -17,6 +17,8 @@
 /// What a member owes to a leader.
 #[derive(Debug)]
 pub(crate) enum Promise {
+    /// Nobody counts on this member.
+    Nothing,
     /// A leader was heard in this life.
     ToLeader { until: Millis },
     /// A leader may have been heard in an earlier life.
@@ -42,8 +44,15 @@
 
     /// Returns whether the member may vote for nobody.
     pub(crate) fn binds(&self, now: Millis) -> bool {
-        let (Self::ToLeader { until } | Self::Unknown { until, .. }) = self;
-        now < *until
+        match self {
+            Self::ToLeader { until } | Self::Unknown { until, .. } => now < *until,
+            Self::Nothing => false,
+        }
+    }
+
+    /// Returns whether the member may not try to be elected either: its own vote could break the promise.
+    pub(crate) fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown { .. })
     }
 
     /// Returns whether a leader was heard within the election time.
@@ -55,7 +64,7 @@
     pub(crate) fn life(&self) -> u64 {
         match self {
             Self::Unknown { life, .. } => *life,
-            Self::ToLeader { .. } => 0,
+            Self::Nothing | Self::ToLeader { .. } => 0,
         }
     }
 }
@@ -65,10 +74,13 @@
     pub(crate) fn tick_promise(&mut self) {
         let Promise::Unknown { until, quiet, .. } = &self.promise else { return };
         if self.now >= *until {
-            return;
+            return self.free_vote();
         }
         let others = self.other_voters().into_iter();
         let unheard: Vec<MemberId> = others.filter(|id| !quiet.contains(id)).collect();
+        if unheard.is_empty() {
+            return self.free_vote();
+        }
         for id in unheard {
             self.inquire(id);
         }
@@ -79,16 +91,19 @@
         let is_alike = reply.membership == self.log.membership().digest();
         let is_known = self.check_disk(from, disk);
         let others = self.other_voters();
-        let now = self.now;
-        let Promise::Unknown { until, life, quiet } = &mut self.promise else { return };
-        let counts = reply.life == *life && !reply.led && is_alike && is_known;
-        if !counts || now >= *until {
+        let Promise::Unknown { life, quiet, .. } = &mut self.promise else { return };
+        if reply.life != *life || reply.led || !is_alike || !is_known {
             return;
         }
         quiet.insert(from);
         if others.iter().all(|id| quiet.contains(id)) {
-            *until = now;
-            self.hasten_election();
+            self.free_vote();
         }
     }
+
+    /// Lets the member vote, and soon try to be elected.
+    fn free_vote(&mut self) {
+        self.promise = Promise::Nothing;
+        self.hasten_election();
+    }
 }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -320,7 +320,7 @@
         self.tick_promise();
         match &self.role {
             Role::Leader(_) => self.tick_leader(),
-            _ if !self.trust.is_proved() => {}
+            _ if !self.trust.is_proved() || self.promise.is_unknown() => {}
             _ if self.now >= self.deadline => self.begin_pre_vote(),
             _ => {}
         }
--- a/crates/quorum/tests/restart_votes.rs
+++ b/crates/quorum/tests/restart_votes.rs
@@ -76,3 +76,39 @@
     let took = time_to_leader(&mut cluster, 6 * ELECTION).expect("a leader is elected");
     assert!(took <= 2 * ELECTION, "{took} ms");
 }
+
+/// A member that has just answered the leader restarts, cut off from it, beside one that had lost the leader before:
+/// together they are a majority, but the leader still counts on the answer.
+#[rstest]
+fn own_vote_waits_too(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut cluster = Cluster::formed(3, 0, seed);
+    let leader = cluster.leader().expect("a leader");
+    let others: Vec<MemberId> = cluster.ids().into_iter().filter(|id| *id != leader).collect();
+    let (lost, answering) = (others[0], others[1]);
+    cluster.cut(leader, lost, true);
+    cluster.cut(lost, leader, true);
+    // The cut member alone can't be elected: the other one refuses while it hears the leader.
+    assert_eq!(pass(&mut cluster, 3 * ELECTION, leader), None);
+    restart(&mut cluster, &[answering]);
+    cluster.isolate(leader, true);
+    let elected = pass(&mut cluster, ELECTION * 8 / 10, leader);
+    assert_eq!(elected, None, "the leader may still read by its lease");
+    cluster.finish();
+}
+
+/// Lets time pass, and returns who leads beside `leader`, if anybody.
+fn pass(cluster: &mut Cluster, millis: u64, leader: MemberId) -> Option<MemberId> {
+    for _ in 0..millis / STEP {
+        cluster.advance(STEP);
+        for id in cluster.ids() {
+            cluster.sync(id);
+        }
+        for _ in 0..cluster.in_flight() {
+            cluster.deliver(0, false);
+        }
+        if let Some(other) = cluster.leader().filter(|id| *id != leader) {
+            return Some(other);
+        }
+    }
+    None
+}
