Count each node once in the progress of a version

Change: relays also report which nodes join and leave, as differences; the source subtracts nodes that several relays report, and takes such a node to lack the version, so progress is never overstated. A report that could not be sent makes the next one a full one. Two links of one node at a relay count once, as the newer one says.

--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -1,6 +1,6 @@
 //! Fan-out of configuration and targets from a source member or relay to its downstream processes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use kingcuplift_config::{Subscription, VersionedDocument, encode_update};
@@ -46,7 +46,7 @@
 /// All connected downstream processes.
 #[derive(Debug, Default)]
 pub(crate) struct Fanout {
-    sessions: HashMap<SessionId, Downstream>,
+    sessions: BTreeMap<SessionId, Downstream>,
     last_session: SessionId,
     cache: FrameCache,
     /// Revision and list of all source members.
@@ -105,12 +105,12 @@
 
     /// Removes all processes and ends their sending tasks.
     pub(crate) fn clear(&mut self) {
-        for (_, downstream) in self.sessions.drain() {
+        for downstream in std::mem::take(&mut self.sessions).into_values() {
             downstream.wake.notify_one();
         }
     }
 
-    /// Returns all connected processes.
+    /// Returns all connected processes, oldest session first.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (SessionId, &Downstream)> {
         self.sessions.iter().map(|(id, downstream)| (*id, downstream))
     }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -2,7 +2,6 @@
 
 mod actor;
 mod http;
-mod progress;
 
 pub use actor::RelayActor;
 pub(crate) use actor::{UpdateSources, accept_nodes};
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -10,17 +10,18 @@
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
-    Downward, FreshnessReply, FreshnessRequest, Hello, Progress, Redirect, Target, TargetUpdate,
+    Downward, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate,
     UpdateFrame, Upward, downward, upward,
 };
-use kingcuplift_traffic::{HandshakeLimit, MergeResult, RemoteMerge, TargetKey, TargetRegistry};
+use kingcuplift_traffic::{
+    HandshakeLimit, MergeResult, ProgressReporter, RemoteMerge, TargetKey, TargetRegistry,
+};
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
 use crate::fanout::{Fanout, SessionId};
 use crate::link::{Endpoint, complete_handshake};
 use crate::metrics;
-use crate::relay::progress;
 use crate::session::{self, DownstreamMessage, HEARTBEAT_INTERVAL, Join, Joined, Leave, Pull};
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
@@ -66,7 +67,7 @@
     /// Freshness requests of nodes that are covered by the request in flight.
     in_flight_freshness: Vec<(SessionId, u64)>,
     last_request: u64,
-    reported_progress: Progress,
+    progress: ProgressReporter,
     /// Monotonic time of the last heartbeat from a current leader, in milliseconds.
     last_fresh_ms: u64,
 }
@@ -95,7 +96,7 @@
             queued_freshness: Vec::new(),
             in_flight_freshness: Vec::new(),
             last_request: 0,
-            reported_progress: Progress::default(),
+            progress: ProgressReporter::default(),
             last_fresh_ms: 0,
         }
     }
@@ -118,7 +119,7 @@
     fn handle_link_opened(&mut self, source_sender: mpsc::Sender<Upward>) {
         self.source_sender = Some(source_sender);
         self.is_linked = false;
-        self.reported_progress = Progress::default();
+        self.progress = ProgressReporter::default();
         let hello = Hello {
             name: self.name.to_string(),
             zone: self.zone.to_string(),
@@ -239,11 +240,13 @@
     }
 
     fn report_progress(&mut self) {
-        let progress = progress::progress(&self.fanout);
-        if progress != self.reported_progress
-            && self.send_to_source(upward::Body::Progress(progress.clone()))
+        let nodes = self.fanout.iter().map(|(_, node)| (&node.name, &node.zone, node.applied));
+        if self.source_sender.is_some()
+            && let Some(progress) = self.progress.report(nodes)
+            && !self.send_to_source(upward::Body::Progress(progress))
         {
-            self.reported_progress = progress;
+            // The next report must not build on one that was not sent.
+            self.progress = ProgressReporter::default();
         }
         self.expire_targets();
     }
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -11,7 +11,6 @@
 mod query;
 mod relays;
 mod response;
-mod tracker;
 mod writer;
 
 pub(crate) use actor::{AttachLocalRelay, SourceActor, UpdateSeeds};
--- a/crates/daemon/src/source/query.rs
+++ b/crates/daemon/src/source/query.rs
@@ -1,13 +1,14 @@
 //! Read-only queries from operators, on the leader's state.
 
+use std::collections::BTreeMap;
+
 use kingcuplift_config::{Catalog, Kind, Resource, VersionInfo};
 use kingcuplift_core::{ResultCode, Version};
 use kingcuplift_schema::control::TargetState;
-use kingcuplift_traffic::TargetTable;
+use kingcuplift_traffic::{ProgressTracker, TargetTable, VersionProgress};
 use serde_json::{Value, json};
 
 use crate::source::response::Response;
-use crate::source::tracker::ProgressTracker;
 
 /// Default number of versions per list.
 pub(crate) const DEFAULT_LIST_LIMIT: usize = 100;
@@ -80,7 +81,7 @@
         };
         let mut document = summary(info);
         document["patch"] = serde_json::from_str(&info.patch).unwrap_or(Value::Null);
-        document["progress"] = json!(self.tracker.progress(version));
+        document["progress"] = progress_json(&self.tracker.progress(version));
         Response::Document(document)
     }
 
@@ -166,3 +167,15 @@
     let detail = format!("version {version} does not exist or is no longer kept");
     Response::problem(ResultCode::VersionNotFound, detail)
 }
+
+/// Returns the progress of a version, in all and by availability zone.
+fn progress_json(progress: &VersionProgress) -> Value {
+    let zones: BTreeMap<_, _> = progress
+        .zones
+        .iter()
+        .map(|(zone, count)| {
+            (zone.as_str(), json!({ "in_force": count.in_force, "known": count.known }))
+        })
+        .collect();
+    json!({ "in_force": progress.in_force, "known": progress.known, "zones": zones })
+}
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -6,13 +6,12 @@
 use kingcuplift_core::{Event, NodeName, Version};
 use kingcuplift_quorum::RoleName;
 use kingcuplift_schema::control::{Downward, FreshnessReply, Redirect, TargetUpdate, upward};
-use kingcuplift_traffic::{TargetKey, TargetRegistry};
+use kingcuplift_traffic::{ProgressTracker, TargetKey, TargetRegistry};
 
 use crate::clock::monotonic_ms;
 use crate::fanout::{Fanout, SessionId};
 use crate::session::{DownstreamMessage, Join, Joined, Leave, Pull};
 use crate::source::actor::{SourceActor, Stage};
-use crate::source::tracker::ProgressTracker;
 
 /// Time after which a relay retries while no leader is known, in milliseconds.
 const REDIRECT_RETRY_MS: u64 = 200;
