Let calls wait out a restart instead of spending their callers' retries

The last target that a call may try gets it as patient: it queues behind all calls that can meet their objective, as long as its answer comes before its deadline. The wait expected at a cold target ends with its warm-up.

--- a/crates/daemon/src/node/admission.rs
+++ b/crates/daemon/src/node/admission.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::monotonic_us;
-use crate::node::forward::CallError;
+use crate::node::forward::{Call, CallError};
 
 /// Inverse weight of the newest sample in a route's average service time.
 const AVERAGE_DIVISOR: u64 = 16;
@@ -181,18 +181,13 @@
     }
 
     /// Waits for a slot, for as long as the target can still respond before the deadline.
-    pub(crate) async fn acquire(
-        self: &Arc<Self>,
-        route: &SmolStr,
-        rank: Rank,
-        time: Duration,
-        objective: Duration,
-    ) -> Result<Permit, CallError> {
-        let Some(mut entry) = self.try_acquire(route, rank, time, objective)? else {
+    pub(crate) async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Permit, CallError> {
+        let rank = call.rank;
+        let Some(mut entry) = self.try_acquire(call)? else {
             return Ok(self.permit());
         };
         // With a slot later than this, the target could not respond before the deadline.
-        let wait = time.saturating_sub(self.average_service_time(route));
+        let wait = call.time_left().saturating_sub(self.average_service_time(&call.route));
         let result = tokio::time::timeout(wait, &mut entry.result).await;
         let result = match result {
             Ok(Ok(result)) => result,
@@ -204,19 +199,15 @@
     }
 
     /// Takes a free slot (`None`) or joins the queue.
-    fn try_acquire(
-        self: &Arc<Self>,
-        route: &SmolStr,
-        rank: Rank,
-        time: Duration,
-        objective: Duration,
-    ) -> Result<Option<QueueEntry>, CallError> {
-        let now = monotonic_us();
+    fn try_acquire(self: &Arc<Self>, call: &Call) -> Result<Option<QueueEntry>, CallError> {
+        let (now, rank) = (monotonic_us(), call.rank);
+        let objective = call.objective.saturating_duration_since(Instant::now());
         let mut state = self.lock();
         let times = CallTimes {
             objective_us: now + objective.as_micros() as u64,
-            deadline_us: now + time.as_micros() as u64,
-            service_us: state.average_us.get(route).copied().unwrap_or(0),
+            deadline_us: now + call.time_left().as_micros() as u64,
+            service_us: state.average_us.get(&call.route).copied().unwrap_or(0),
+            is_patient: call.is_patient,
         };
         state.next_id += 1;
         let id = state.next_id;
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -72,8 +72,8 @@
     if worker.shared.in_flight() > MAX_IN_FLIGHT {
         return Err(ResultCode::Overloaded.into());
     }
-    let view = worker.shared.view.load_full().ok_or(ResultCode::NodeNotReady)?;
     let (parts, incoming) = request.into_parts();
+    let view = wait_for_view(&worker.shared, &parts).await?;
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
     worker.shared.check_shutdown(started_at + time)?;
@@ -104,6 +104,37 @@
     attempts.run(call).await
 }
 
+/// Returns the routing state, after waiting for it and for targets of the call's route if the node has just started.
+async fn wait_for_view(shared: &NodeShared, parts: &Parts) -> Result<Arc<RoutingView>, ResultCode> {
+    let arrived_ms = monotonic_ms();
+    let mut changes = shared.view_changes();
+    loop {
+        changes.mark_unchanged();
+        let view = shared.view.load_full();
+        if view.as_ref().is_some_and(|view| is_routable(parts, view)) {
+            return view.ok_or(ResultCode::NodeNotReady);
+        }
+        let time = stated_time(shared, parts)?;
+        let wait = shared.startup.wait_left(arrived_ms, time, monotonic_ms());
+        let has_changed = match wait {
+            Duration::ZERO => false,
+            wait => tokio::time::timeout(wait, changes.changed()).await.is_ok(),
+        };
+        if !has_changed {
+            return view.ok_or(ResultCode::NodeNotReady);
+        }
+    }
+}
+
+/// Returns whether a call has targets, or will be refused whatever targets there are.
+fn is_routable(parts: &Parts, view: &RoutingView) -> bool {
+    let Ok(route) = find_route(parts, view) else { return true };
+    let mut parts = route.parts.iter().filter(|part| part.weight > 0.0);
+    parts.all(|part| {
+        view.service(part.service.as_str()).is_none_or(|service| !service.candidates.is_empty())
+    })
+}
+
 fn find_route<'a>(parts: &Parts, view: &'a RoutingView) -> Result<&'a RouteMatch, ResultCode> {
     let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = host.ok_or(ResultCode::CallMalformed)?;
@@ -117,13 +148,17 @@
     parts: &Parts,
     route: &RouteMatch,
 ) -> Result<Duration, ResultCode> {
+    Ok(stated_time(shared, parts)?.map_or(route.timeout, |left| route.timeout.min(left)))
+}
+
+/// Returns the time left that the caller states, if any.
+fn stated_time(shared: &NodeShared, parts: &Parts) -> Result<Option<Duration>, ResultCode> {
     let Some(text) = headers::text(&parts.headers, shared.headers.time_left.as_ref()) else {
-        return Ok(route.timeout);
+        return Ok(None);
     };
     let millis: f64 = text.trim().parse().map_err(|_invalid| ResultCode::CallMalformed)?;
     let left = Duration::try_from_secs_f64(millis / 1_000.0);
-    let left = left.map_err(|_invalid| ResultCode::CallMalformed)?;
-    Ok(route.timeout.min(left))
+    left.map(Some).map_err(|_invalid| ResultCode::CallMalformed)
 }
 
 fn make_call(
@@ -159,6 +194,7 @@
         objective: started_at + route.objective.min(time),
         route: route.name.clone(),
         rank: route.rank,
+        is_patient: false,
         id,
     }
 }
@@ -213,7 +249,9 @@
         };
         let mut last: Result<TargetResponse, CallError> = Err(ResultCode::NoTarget.into());
         let mut next = Some(call);
-        while let Some(call) = next.take() {
+        while let Some(mut call) = next.take() {
+            let is_last_target = self.tried.len() + 1 >= self.service.candidates.len();
+            call.is_patient = is_last_target || self.refusals + 1 >= MAX_REFUSALS;
             let selection = SelectionContext {
                 zone: &self.worker.shared.zone,
                 version: version.as_ref(),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -249,7 +249,7 @@
         self.changed_services.clear();
         let version = self.config.head();
         let before = self.shared.version();
-        self.shared.view.store(Some(Arc::new(self.view.clone())));
+        self.shared.set_view(self.view.clone());
         self.update_local_targets();
         metrics::VERSION.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
         if version != before {
--- a/crates/daemon/src/node/envelope.rs
+++ b/crates/daemon/src/node/envelope.rs
@@ -26,6 +26,8 @@
     pub(crate) time_left: Duration,
     /// Time until the latency objective.
     pub(crate) objective: Duration,
+    /// Whether the call may wait until its deadline.
+    pub(crate) is_patient: bool,
 }
 
 impl Envelope {
@@ -40,6 +42,7 @@
             route: call.route.clone(),
             time_left: call.deadline.saturating_duration_since(now),
             objective: call.objective.saturating_duration_since(now),
+            is_patient: call.is_patient,
         }
     }
 
@@ -50,13 +53,14 @@
             name => name,
         };
         let text = format!(
-            "{} {} {instance} {} {} {} {}",
+            "{} {} {instance} {} {} {} {} {}",
             self.service,
             self.version,
             self.rank,
             self.route,
             self.time_left.as_millis(),
             self.objective.as_millis(),
+            u8::from(self.is_patient),
         );
         if let Ok(value) = HeaderValue::from_str(&text) {
             headers.insert(ENVELOPE, value);
@@ -79,6 +83,8 @@
             route: SmolStr::new(next()?),
             time_left: Duration::from_millis(next()?.parse().ok()?),
             objective: Duration::from_millis(next()?.parse().ok()?),
+            // Absent in calls from nodes of earlier releases.
+            is_patient: next() == Some("1"),
         };
         Some(envelope)
     }
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -31,6 +31,8 @@
     /// Name of the route.
     pub(crate) route: SmolStr,
     pub(crate) rank: Rank,
+    /// Whether the call waits at the target until its deadline, because no other target is left.
+    pub(crate) is_patient: bool,
     /// Id that the target echoes in its response.
     pub(crate) id: Option<HeaderValue>,
 }
@@ -51,6 +53,7 @@
             objective: self.objective,
             route: self.route.clone(),
             rank: self.rank,
+            is_patient: self.is_patient,
             id: self.id.clone(),
         })
     }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -65,6 +65,7 @@
         objective: started_at + envelope.objective,
         route: envelope.route,
         rank: envelope.rank,
+        is_patient: envelope.is_patient,
         id,
     };
     let outcome = call_local_target(&worker, &key, &envelope.instance, call).await;
@@ -107,17 +108,15 @@
     if let Err(error) = worker.shared.check_shutdown(call.deadline) {
         return error.into();
     }
-    let objective = call.objective.saturating_duration_since(Instant::now());
     let id = call.id.clone();
-    let permit =
-        match local.admission.acquire(&call.route, call.rank, call.time_left(), objective).await {
-            Ok(permit) => permit,
-            Err(error) => {
-                let load = local.admission.load();
-                log_refusal(&worker.shared, key, &id, &error, load);
-                return AttemptOutcome { result: Err(error), load: Some(load), service_time: None };
-            }
-        };
+    let permit = match local.admission.acquire(&call).await {
+        Ok(permit) => permit,
+        Err(error) => {
+            let load = local.admission.load();
+            log_refusal(&worker.shared, key, &id, &error, load);
+            return AttemptOutcome { result: Err(error), load: Some(load), service_time: None };
+        }
+    };
     let route = call.route.clone();
     let result = send_to_target(worker, local, call).await;
     let elapsed = permit.elapsed();
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kingcuplift_core::logger::LogRateLimiter;
 use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, Version, ZoneName};
-use kingcuplift_traffic::{RetryBudget, RetryLimits, RoutingView, TargetKey};
+use kingcuplift_traffic::{RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -49,6 +49,10 @@
     pub(crate) service: ArcSwapOption<ServiceName>,
     /// Routing state; absent until a configuration is confirmed to be current.
     pub(crate) view: ArcSwapOption<RoutingView>,
+    /// Notified of each change of the routing state.
+    view_changed: watch::Sender<()>,
+    /// Period after the start in which calls wait for the routing state.
+    pub(crate) startup: StartupWindow,
     pub(crate) local_targets: ArcSwap<LocalTargets>,
     retry_budget: Mutex<RetryBudget>,
     evidence: Mutex<EvidenceTable>,
@@ -76,6 +80,8 @@
             headers: HeaderNames::default(),
             service: ArcSwapOption::empty(),
             view: ArcSwapOption::empty(),
+            view_changed: watch::Sender::new(()),
+            startup: StartupWindow::new(monotonic_ms()),
             local_targets: ArcSwap::default(),
             retry_budget: Mutex::new(RetryBudget::new(RetryLimits::default())),
             evidence: Mutex::new(EvidenceTable::default()),
@@ -104,6 +110,17 @@
         self
     }
 
+    /// Replaces the routing state.
+    pub(crate) fn set_view(&self, view: RoutingView) {
+        self.view.store(Some(Arc::new(view)));
+        self.view_changed.send_replace(());
+    }
+
+    /// Returns a receiver that is notified when the routing state changes.
+    pub(crate) fn view_changes(&self) -> watch::Receiver<()> {
+        self.view_changed.subscribe()
+    }
+
     /// Returns the version in force, or 0 if there is none.
     pub fn version(&self) -> Version {
         self.view.load().as_ref().map_or(Version::default(), |view| view.version())
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -10,8 +10,8 @@
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
-    Downward, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate,
-    UpdateFrame, Upward, downward, upward,
+    Downward, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate, UpdateFrame,
+    Upward, downward, upward,
 };
 use kingcuplift_traffic::{
     HandshakeLimit, MergeResult, ProgressReporter, RemoteMerge, TargetKey, TargetRegistry,
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -67,12 +67,14 @@
     pub deadline_us: u64,
     /// Expected service time of the call; 0 if unknown.
     pub service_us: u64,
+    /// Whether the call waits for as long as an answer can come before its deadline, because no other target is left.
+    pub is_patient: bool,
 }
 
 impl CallTimes {
     /// Creates the times of a call whose objective is its deadline.
     pub fn until(deadline_us: u64) -> Self {
-        Self { objective_us: deadline_us, deadline_us, service_us: 0 }
+        Self { objective_us: deadline_us, deadline_us, service_us: 0, is_patient: false }
     }
 }
 
@@ -259,11 +261,12 @@
             () if now_us + self.expected_wait(rank, now_us) >= times.deadline_us => {
                 return Decision::Refuse(ResultCode::DeadlineBefore);
             }
-            () if self.would_miss_objective(rank, times, now_us) => {
-                return Decision::Refuse(ResultCode::Overloaded);
-            }
             () => {}
         }
+        let is_late = self.would_miss_objective(rank, times, now_us);
+        if is_late && !times.is_patient && !self.has_room_for_late_call(rank, now_us) {
+            return Decision::Refuse(ResultCode::Overloaded);
+        }
         let is_full = self.waiting.len() >= self.limits.queue as usize;
         let displaced = match self.waiting.last_key_value() {
             _ if !is_full => None,
@@ -275,30 +278,34 @@
             self.queue_keys.remove(&id);
         }
         self.arrivals += 1;
-        let key = (rank, false, self.arrivals);
+        let key = (rank, is_late && times.is_patient, self.arrivals);
         self.waiting.insert(key, Waiting { id, times, arrived_us: now_us });
         self.queue_keys.insert(id, key);
         Decision::Wait { displaced: displaced.map(|(_, id)| id) }
     }
 
-    /// Returns whether a call would miss its objective while enough others of its rank wait.
+    /// Returns whether a call would miss its objective behind the calls that are served before it.
     ///
     /// Calls of better ranks that arrive later are served first, so the recent waits of the rank count as well as the
     /// number of calls ahead.
     fn would_miss_objective(&self, rank: Rank, times: CallTimes, now_us: u64) -> bool {
-        let first = (rank, false, 0);
-        let same_rank = self.waiting.range(first..=(rank, true, u64::MAX)).count();
+        let ahead = self.waiting.range(..=(rank, false, u64::MAX)).count();
         let average_wait =
-            self.average_waits.get(&rank).copied().filter(|_| same_rank > 0).unwrap_or(0);
-        let wait_us = self.expected_wait(rank, now_us).max(average_wait);
+            self.average_waits.get(&rank).copied().filter(|_| ahead > 0).unwrap_or(0);
+        let wait_us = self.wait_behind(ahead, now_us).max(average_wait);
         let answered_us = now_us + wait_us + self.expected_service(times);
-        let has_objective = times.objective_us < times.deadline_us;
+        times.objective_us < times.deadline_us && answered_us >= times.objective_us
+    }
+
+    /// Returns whether few enough calls of a rank wait for one more that will miss its objective.
+    fn has_room_for_late_call(&self, rank: Rank, now_us: u64) -> bool {
+        let same_rank = self.waiting.range((rank, false, 0)..=(rank, true, u64::MAX)).count();
         let allowed = match self.is_rate_limited(now_us) {
             // Another target may be warm, so a cold one queues no call past its objective.
             true => 0,
             false => (self.limits.slots / LATE_CALLS_DIVISOR).max(1) as usize,
         };
-        has_objective && answered_us >= times.objective_us && same_rank >= allowed
+        same_rank < allowed
     }
 
     /// Updates the average wait of a rank.
@@ -350,14 +357,17 @@
             let Some(key) = self.next_queue_key() else { break };
             let Some(call) = self.waiting.remove(&key) else { break };
             self.queue_keys.remove(&call.id);
-            self.record_wait(key.0, now_us.saturating_sub(call.arrived_us));
             let answered_us = now_us + self.expected_service(call.times);
             let (rank, is_late, arrival) = key;
+            if !is_late {
+                self.record_wait(rank, now_us.saturating_sub(call.arrived_us));
+            }
+            let is_dropped = self.has_backlog() && !call.times.is_patient;
             match () {
                 () if answered_us >= call.times.deadline_us => {
                     released.push(Release::Expired(call.id));
                 }
-                () if !is_late && answered_us >= call.times.objective_us && self.has_backlog() => {
+                () if !is_late && answered_us >= call.times.objective_us && is_dropped => {
                     released.push(Release::Expired(call.id));
                 }
                 () if !is_late && answered_us >= call.times.objective_us => {
@@ -394,12 +404,22 @@
         }
     }
 
-    /// Estimates how long a call of `rank` waits before it runs, in microseconds.
+    /// Estimates how long a call of `rank` waits before it runs, in microseconds, if it arrives last of its rank.
     pub fn expected_wait(&self, rank: Rank, now_us: u64) -> u64 {
-        let ahead = self.waiting.range(..=(rank, true, u64::MAX)).count() as u64 + 1;
+        self.wait_behind(self.waiting.range(..=(rank, true, u64::MAX)).count(), now_us)
+    }
+
+    /// Estimates how long a call with `ahead` others before it waits, in microseconds.
+    ///
+    /// A cold target serves its queue at its rate limit until it is warm, and then with all slots.
+    fn wait_behind(&self, ahead: usize, now_us: u64) -> u64 {
+        let ahead = ahead as u64 + 1;
         let by_slots = ahead * self.service_us / u64::from(self.limits.slots.max(1));
         match self.rate_limit.filter(|limit| !limit.is_over(now_us)) {
-            Some(limit) => by_slots.max(ahead * limit.interval_us),
+            Some(limit) => {
+                let until_warm = limit.until_us - now_us;
+                by_slots.max((ahead * limit.interval_us).min(until_warm + by_slots))
+            }
             None => by_slots,
         }
     }
--- a/crates/traffic/tests/overload_order.rs
+++ b/crates/traffic/tests/overload_order.rs
@@ -17,6 +17,7 @@
         objective_us: objective_ms * MS,
         deadline_us: deadline_ms * MS,
         service_us: service_ms * MS,
+        is_patient: false,
     }
 }
 
@@ -130,6 +131,7 @@
         objective_us: now + 250 * MS,
         deadline_us: now + 2 * SECOND,
         service_us: 50 * MS,
+        is_patient: false,
     };
     let decisions: Vec<Decision> =
         (0..6).map(|id| admission.arrive_with_times(id, Rank::FIRST, times(0), 0)).collect();
