--- a/crates/daemon/src/node/probe.rs
+++ b/crates/daemon/src/node/probe.rs
@@ -34,6 +34,7 @@
         objective: deadline,
         route: SmolStr::default(),
         rank: Rank::FIRST,
+        is_patient: false,
         id: None,
     };
     let response = match send(&Pool::default(), address, call, false).await {
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -240,13 +240,15 @@
     }
 
     fn report_progress(&mut self) {
-        let nodes = self.fanout.iter().map(|(_, node)| (&node.name, &node.zone, node.applied));
-        if self.source_sender.is_some()
-            && let Some(progress) = self.progress.report(nodes)
-            && !self.send_to_source(upward::Body::Progress(progress))
-        {
-            // The next report must not build on one that was not sent.
-            self.progress = ProgressReporter::default();
+        if self.source_sender.is_some() {
+            let nodes = self.fanout.iter().map(|(_, node)| (&node.name, &node.zone, node.applied));
+            let report = self.progress.report(nodes);
+            let is_lost =
+                report.is_some_and(|report| !self.send_to_source(upward::Body::Progress(report)));
+            if is_lost {
+                // The next report must not build on one that was not sent.
+                self.progress = ProgressReporter::default();
+            }
         }
         self.expire_targets();
     }
