Retry a connection attempt before the kernel does, let nodes wait at relays, query voters less often

Change: dial.rs opens up to four attempts, 150 ms apart, and takes the first that ends; a relay without configuration accepts nodes and sends them the first configuration as soon as it has it (a stale relay is still left after 0.8 s); inquiries of a restarted voter go out twice a heartbeat interval.

--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -173,7 +173,9 @@
     ) -> Option<Vec<Downward>> {
         let downstream = self.sessions.get_mut(&session)?;
         let mut bodies = Vec::new();
-        if downstream.sent_version.is_none_or(|sent| sent < config.head()) {
+        // Until there is a configuration, the process keeps the one that it has.
+        let has_config = config.head() > Version::default();
+        if has_config && downstream.sent_version.is_none_or(|sent| sent < config.head()) {
             let (frame, digest) = self.cache.frame(downstream, config);
             downstream.sent_digest = digest;
             bodies.push(downward::Body::Update(frame));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 mod clock;
 mod credentials;
+mod dial;
 mod error;
 mod fanout;
 mod link;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -25,6 +25,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::dial;
 use crate::error::StartError;
 
 /// Maximum size of an encoded message.
@@ -226,7 +227,7 @@
                 Ok(Link::Quic(connecting.await?))
             }
             Transport::Tcp { identity, .. } => {
-                let mut stream = TcpStream::connect(address).await?;
+                let mut stream = dial::connect(address).await?;
                 set_tcp_options(&stream)?;
                 send_greeting(&mut stream, identity, protocol).await?;
                 Ok(Link::Tcp(Some(stream)))
--- a/crates/daemon/src/node/pool.rs
+++ b/crates/daemon/src/node/pool.rs
@@ -12,8 +12,8 @@
 use hyper_util::rt::TokioIo;
 use kingcuplift_core::ResultCode;
 use socket2::SockRef;
-use tokio::net::TcpStream;
 
+use crate::dial;
 use crate::node::body::Body;
 use crate::node::headers;
 
@@ -133,7 +133,7 @@
 }
 
 async fn open(address: SocketAddr) -> io::Result<SendRequest<Body>> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = dial::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     let mut builder = Builder::new();
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -33,8 +33,6 @@
 const NODE_GRACE_PERIOD_MS: u64 = 10_000;
 /// Time for which a heartbeat from a current leader proves freshness, in milliseconds.
 const FRESHNESS_TTL_MS: u64 = 800;
-/// Time after which a node retries while the relay has no configuration, in milliseconds.
-const NO_CONFIG_RETRY_MS: u64 = 500;
 
 /// Requests the relay's health.
 #[derive(Debug, Message)]
@@ -337,9 +335,6 @@
     type Result = Result<Joined, Redirect>;
 
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
-        if self.config.head() == Version::default() && self.source_sender.is_none() {
-            return Err(Redirect { address: String::new(), retry_ms: NO_CONFIG_RETRY_MS });
-        }
         let identity = join.identity;
         let (session, wake) = self.fanout.join(
             identity.name,
--- a/crates/quorum/src/vote_restriction.rs
+++ b/crates/quorum/src/vote_restriction.rs
@@ -14,6 +14,9 @@
 use crate::membership::MembershipExt;
 use crate::replica::Replica;
 
+/// Rounds of queries to the other voters per heartbeat interval.
+const INQUIRIES_PER_HEARTBEAT: Millis = 2;
+
 /// Restriction on granting votes.
 #[derive(Debug)]
 pub(crate) enum VoteRestriction {
@@ -28,6 +31,8 @@
         incarnation: u64,
         /// Voters that have reported that there is no leader.
         leaderless: BTreeSet<MemberId>,
+        /// When the other voters are queried next.
+        next_inquiry_at: Millis,
     },
 }
 
@@ -39,7 +44,7 @@
 
     /// Creates the restriction of a member that has just started.
     pub(crate) fn restarted(until: Millis, incarnation: u64) -> Self {
-        Self::Restarted { until, incarnation, leaderless: BTreeSet::new() }
+        Self::Restarted { until, incarnation, leaderless: BTreeSet::new(), next_inquiry_at: 0 }
     }
 
     /// Returns whether the member must not grant votes.
@@ -72,17 +77,25 @@
 impl Replica {
     /// Queries the voters that have not yet reported that there is no leader.
     pub(crate) fn tick_vote_restriction(&mut self) {
-        let VoteRestriction::Restarted { until, leaderless, .. } = &self.vote_restriction else {
+        let (now, heartbeat) = (self.now, self.timing.heartbeat);
+        let others = self.other_voters();
+        let VoteRestriction::Restarted { until, leaderless, next_inquiry_at, .. } =
+            &mut self.vote_restriction
+        else {
             return;
         };
-        if self.now >= *until {
+        if now >= *until {
             return self.lift_vote_restriction();
         }
-        let others = self.other_voters().into_iter();
-        let remaining: Vec<MemberId> = others.filter(|id| !leaderless.contains(id)).collect();
+        let remaining: Vec<MemberId> =
+            others.into_iter().filter(|id| !leaderless.contains(id)).collect();
         if remaining.is_empty() {
             return self.lift_vote_restriction();
         }
+        if now < *next_inquiry_at {
+            return;
+        }
+        *next_inquiry_at = now + heartbeat / INQUIRIES_PER_HEARTBEAT;
         for id in remaining {
             self.send_inquiry(id);
         }
