Prefer the target on the own VM while it has room

Change: a target on another VM costs 0.08 in select_target, as much as a load of that size; a call that never reached its target no longer lowers the average service time.

Proof: target_choice::own_vm_first, admission_rules::unsent_calls_leave_service_time.

--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -253,6 +253,7 @@
             let is_last_target = self.tried.len() + 1 >= self.service.candidates.len();
             call.is_patient = is_last_target || self.refusals + 1 >= MAX_REFUSALS;
             let selection = SelectionContext {
+                node: self.worker.shared.name.as_str(),
                 zone: &self.worker.shared.zone,
                 version: version.as_ref(),
                 tried: &self.tried,
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -336,9 +336,12 @@
     }
 
     /// Records that a running call has ended, and releases waiting calls.
+    ///
+    /// A service time of zero, of a call that never reached the target, leaves the average as it is.
     pub fn finish(&mut self, service_us: u64, now_us: u64) -> Vec<Release> {
         self.running = self.running.saturating_sub(1);
         self.service_us = match self.service_us {
+            average if service_us == 0 => average,
             0 => service_us,
             average => (average * (SERVICE_TIME_DIVISOR - 1) + service_us) / SERVICE_TIME_DIVISOR,
         };
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -16,6 +16,8 @@
 
 /// Cost of a call to another availability zone.
 const CROSS_ZONE_COST: f64 = 0.12;
+/// Cost of a call that leaves this VM: time, processor time, and bytes on links that a few calls can fill.
+const REMOTE_COST: f64 = 0.08;
 /// Cost of a target at which every call fails.
 const FAILURE_COST: f64 = 2.0;
 /// Cost of a target that is held back while a move puts other targets of its version under load.
@@ -79,6 +81,8 @@
 /// What restricts and influences the selection of a target for one call.
 #[derive(Debug, Clone, Copy)]
 pub struct SelectionContext<'a> {
+    /// Name of this node.
+    pub node: &'a str,
     /// Availability zone of this node.
     pub zone: &'a ZoneName,
     /// Target version; `None` means any.
@@ -243,7 +247,7 @@
     }
 
     /// Returns the expected cost of one more call, as a fraction of its value.
-    fn cost(&self, zone: &ZoneName, estimate: CallEstimate, now_ms: u64, typical: f64) -> f64 {
+    fn cost(&self, context: &SelectionContext<'_>, now_ms: u64, typical: f64) -> f64 {
         let (busy, limit) = self.load(now_ms, typical);
         let utilization = busy / limit;
         let slowdown = match utilization {
@@ -254,9 +258,13 @@
             }
         };
         let slowness = f64::from(f32::from_bits(self.slowness.load(Ordering::Relaxed)));
-        let latency = estimate.latency_fraction * slowness * (1.0 + slowdown);
+        let latency = context.estimate.latency_fraction * slowness * (1.0 + slowdown);
         let lateness = ((latency - FREE_LATENCY) / LATENESS_RANGE).clamp(0.0, MAX_LATENESS);
-        let cross_zone = if self.zone == *zone { 0.0 } else { CROSS_ZONE_COST };
+        let distance = match self.key.node {
+            _ if self.zone != *context.zone => REMOTE_COST + CROSS_ZONE_COST,
+            ref node if node == context.node => 0.0,
+            _ => REMOTE_COST,
+        };
         let failures = f64::from(self.failure_rate(now_ms)) * FAILURE_COST;
         let queueing = if utilization >= 1.0 { QUEUE_COST } else { 0.0 };
         let cold = if now_ms < self.cold_until.load(Ordering::Relaxed) { COLD_COST } else { 0.0 };
@@ -265,7 +273,7 @@
             + cold
             + latency.min(MAX_LATENESS) * LATENCY_COST
             + utilization.min(1.0) * LOAD_COST
-            + cross_zone
+            + distance
             + failures
     }
 
@@ -297,9 +305,7 @@
             false => 0.0,
         };
         let jitter = rng.random::<f64>() * MAX_JITTER;
-        let cost = candidate.cost(context.zone, context.estimate, now_ms, typical)
-            + held_back_cost
-            + jitter;
+        let cost = candidate.cost(&context, now_ms, typical) + held_back_cost + jitter;
         let is_better =
             best.is_none_or(|(best_avoided, least, _)| (is_avoided, cost) < (best_avoided, least));
         if is_better {
--- a/crates/traffic/tests/admission_rules.rs
+++ b/crates/traffic/tests/admission_rules.rs
@@ -228,3 +228,17 @@
     let position = (0..39).position(|_| admission.finish(1, 1).contains(&Release::Run(1)));
     assert!(position.is_some_and(|position| position < FAIRNESS_INTERVAL));
 }
+
+/// A call that never reached the target says nothing about its service time.
+#[test]
+fn unsent_calls_leave_service_time() {
+    let limits = AdmissionLimits { slots: 1, queue: 10 };
+    let mut admission = Admission::new(limits);
+    admission.arrive(0, Rank::FIRST, u64::MAX / 2, 0);
+    admission.finish(80_000, 0);
+    for id in 1..20 {
+        admission.arrive(id, Rank::FIRST, u64::MAX / 2, 0);
+        admission.finish(0, 0);
+    }
+    assert_eq!(admission.expected_wait(Rank::FIRST, 0), 80_000);
+}
--- a/crates/traffic/tests/target_choice.rs
+++ b/crates/traffic/tests/target_choice.rs
@@ -16,6 +16,8 @@
 const NOW_MS: u64 = 5_000;
 /// Slots of each target.
 const SLOTS: u32 = 20;
+/// Name of the node that selects; most tests have no target beside it.
+const OWN_NODE: &str = "own";
 
 fn candidate(node: &str, zone: &str) -> Arc<Candidate> {
     let key = TargetKey { service: "orders".into(), version: "v1".into(), node: node.into() };
@@ -30,8 +32,14 @@
     let mut counts = vec![0; candidates.len()];
     for _ in 0..SELECTIONS {
         let estimate = CallEstimate::default();
-        let wanted =
-            SelectionContext { zone: &zone, version: None, tried, held_back: &[], estimate };
+        let wanted = SelectionContext {
+            node: OWN_NODE,
+            zone: &zone,
+            version: None,
+            tried,
+            held_back: &[],
+            estimate,
+        };
         let Some(chosen) = select_target(candidates, wanted, now_ms, &mut rng) else { continue };
         let at = candidates
             .iter()
@@ -50,6 +58,18 @@
     assert!(counts[0] > SELECTIONS / 3 && counts[1] > SELECTIONS / 3);
 }
 
+/// Responses of 5 KB fill a link of 2 Mbit/s at fifty calls a second, so calls stay on their VM while it has room.
+#[test]
+fn own_vm_first() {
+    let candidates = [candidate(OWN_NODE, "a"), candidate("2", "a"), candidate("3", "b")];
+    assert_eq!(select_often(&candidates, &[], 0), [SELECTIONS, 0, 0]);
+    for _ in 0..SLOTS {
+        candidates[0].call_started();
+    }
+    let counts = select_often(&candidates, &[], 0);
+    assert_eq!(counts[1], SELECTIONS, "a full target of the own VM gets no more calls: {counts:?}");
+}
+
 #[test]
 fn full_zone_spills_over() {
     let candidates = [candidate("1", "a"), candidate("2", "b")];
@@ -114,8 +134,14 @@
         let candidates: Vec<_> = (0..8).map(|n| candidate(&n.to_string(), "a")).collect();
         prepare(&candidates);
         let estimate = CallEstimate::default();
-        let wanted =
-            SelectionContext { zone: &zone, version: None, tried: &[], held_back: &[], estimate };
+        let wanted = SelectionContext {
+            node: OWN_NODE,
+            zone: &zone,
+            version: None,
+            tried: &[],
+            held_back: &[],
+            estimate,
+        };
         let mut rng = SmallRng::seed_from_u64(node);
         let chosen =
             select_target(&candidates, wanted, NOW_MS, &mut rng).expect("a target is available");
