Serve more of a cold start, a stop and a gone target; keep what is known of a call

Change: cold_rush.rs (pace of calls to a cold target, from node.warmup), result code 3021 TargetUnknown with an avoidance that a new announcement ends, retry_rule and AttemptResults in retry.rs, planned_stop.rs, node.grace_s in place of a fixed time.

Tests, each fails on the code before: cold_rush (headroom_is_used; tolerance_holds also over a restart of the node), target_choice::target_unknown_to_its_node_is_avoided, retry_rules, planned_stop.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 /// Whether a request was executed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
     /// The request was not executed and will not be.
@@ -152,6 +152,8 @@
     AnswerDamaged = 3018, 502, Unknown;
     /// The call could not be answered in time.
     Overloaded = 3020, 503, NotRun;
+    /// The node beside the target does not know this instance of it.
+    TargetUnknown = 3021, 503, NotRun;
     /// No leader of the source is known at present.
     NoLeader = 4001, 503, NotRun;
     /// The member lost leadership before the submission was committed.
--- a/crates/daemon/src/node/admission.rs
+++ b/crates/daemon/src/node/admission.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use kingcuplift_core::{PerSecond, Rank, ResultCode};
+use kingcuplift_core::{Rank, ResultCode};
 use kingcuplift_traffic::{
     Admission, AdmissionLimits, CallId, CallOutcome, CallTimes, ConcurrencyLimit, Decision,
-    LoadReport, Release,
+    LoadReport, Release, WarmupPace,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -132,10 +132,10 @@
         self.schedule_release(state);
     }
 
-    /// Limits the rate of calls for `time`, because the target is cold.
-    pub(crate) fn set_rate_limit(&self, rate: PerSecond, time: Duration) {
+    /// Limits the pace of calls for `time`, because the target is cold.
+    pub(crate) fn set_rate_limit(&self, pace: WarmupPace, time: Duration) {
         let now = monotonic_us();
-        self.lock().admission.set_rate_limit(rate, now + time.as_micros() as u64, now);
+        self.lock().admission.set_rate_limit(pace, now + time.as_micros() as u64, now);
     }
 
     /// Removes the rate limit.
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -12,8 +12,8 @@
 use kingcuplift_config::Semantics;
 use kingcuplift_core::{Event, ResultCode, RunState};
 use kingcuplift_traffic::{
-    Attempt, CallEstimate, Candidate, RetryReason, RouteMatch, RoutingView, SelectionContext,
-    ServiceView, ServingVersions, TargetKey, may_retry, select_target,
+    AttemptResults, CallEstimate, Candidate, RetryReason, RetryRule, RouteMatch, RoutingView,
+    SelectionContext, ServiceView, ServingVersions, TargetKey, retry_rule, select_target,
 };
 use smol_str::SmolStr;
 
@@ -76,7 +76,7 @@
     let view = wait_for_view(&worker.shared, &parts).await?;
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
-    worker.shared.check_shutdown(started_at + time)?;
+    let time = worker.shared.limit_to_shutdown(started_at, time, route.objective)?;
     let body = match Body::read(incoming, view.limits().max_body_size.get()).await {
         Ok(body) => body,
         Err(BodyError::Interrupted(_)) => return Err(ResultCode::CallMalformed.into()),
@@ -200,11 +200,12 @@
 }
 
 /// What follows an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Disposition {
-    /// The caller gets this result.
-    Final(Result<TargetResponse, CallError>),
-    /// The call may be sent to another target; without one, the caller gets this result.
-    Retry(Result<TargetResponse, CallError>),
+    /// The caller gets the result of the attempts so far.
+    Final,
+    /// The call may be sent to another target.
+    Retry,
 }
 
 /// Details of a call for log lines.
@@ -247,7 +248,7 @@
             route: call.route.clone(),
             started_at: Instant::now(),
         };
-        let mut last: Result<TargetResponse, CallError> = Err(ResultCode::NoTarget.into());
+        let mut results = AttemptResults::default();
         let mut next = Some(call);
         while let Some(mut call) = next.take() {
             let is_last_target = self.tried.len() + 1 >= self.service.candidates.len();
@@ -268,24 +269,18 @@
             let route = call.route.clone();
             let outcome = attempt(self.worker, candidate, call).await;
             self.record_attempt(candidate, &route, &outcome);
-            match self.decide(outcome.result) {
-                Disposition::Final(result) => {
-                    if let Err(error) = &result {
-                        self.log_failure(&context, *error);
-                    }
-                    return result;
-                }
-                Disposition::Retry(result) => {
-                    self.log_retry(&context, &candidate.key, &result);
-                    last = merge_results(last, result);
-                    next = copy.filter(|copy| !copy.time_left().is_zero());
-                }
+            let disposition = self.decide(&outcome.result);
+            if disposition == Disposition::Retry {
+                self.log_retry(&context, &candidate.key, &outcome.result);
+                next = copy.filter(|copy| !copy.time_left().is_zero());
             }
+            results.add(outcome.result, |error| error.code.run());
         }
-        if let Err(error) = &last {
+        let result = results.merged().unwrap_or_else(|| Err(ResultCode::NoTarget.into()));
+        if let Err(error) = &result {
             self.log_failure(&context, *error);
         }
-        last
+        result
     }
 
     /// Logs that the call has no response from a target.
@@ -368,46 +363,35 @@
     }
 
     /// Decides whether the call may be retried at another target.
-    fn decide(&mut self, result: Result<TargetResponse, CallError>) -> Disposition {
-        let code = match &result {
+    fn decide(&mut self, result: &Result<TargetResponse, CallError>) -> Disposition {
+        let code = match result {
             Ok(response) if response.status.is_server_error() && self.is_idempotent => {
-                return self.retry_within_budget(result, RetryReason::Failed);
+                return self.retry_within_budget(RetryReason::Failed);
             }
-            Ok(_) => return Disposition::Final(result),
+            Ok(_) => return Disposition::Final,
             Err(error) => error.code,
         };
-        let attempt = Attempt { run: code.run(), idempotent: self.is_idempotent };
-        match code {
-            ResultCode::DeadlineAfter => Disposition::Final(result),
-            _ if !may_retry(attempt) => Disposition::Final(result),
-            ResultCode::TargetShed | ResultCode::TargetReplaced => {
-                self.retry_within_budget(result, RetryReason::NotRun)
-            }
-            _ if attempt.run == RunState::Unknown => {
-                self.retry_within_budget(result, RetryReason::Failed)
-            }
-            _ => self.retry_after_refusal(result),
+        match retry_rule(code, self.is_idempotent) {
+            RetryRule::Never => Disposition::Final,
+            RetryRule::Free => self.retry_after_refusal(),
+            RetryRule::Charged(reason) => self.retry_within_budget(reason),
         }
     }
 
     /// Permits another attempt after a node refused the call, up to [`MAX_REFUSALS`]; no target was reached.
-    fn retry_after_refusal(&mut self, result: Result<TargetResponse, CallError>) -> Disposition {
+    fn retry_after_refusal(&mut self) -> Disposition {
         self.refusals += 1;
         match self.refusals < MAX_REFUSALS {
-            true => Disposition::Retry(result),
-            false => Disposition::Final(result),
+            true => Disposition::Retry,
+            false => Disposition::Final,
         }
     }
 
     /// Permits another attempt after the call reached a target, within the route's limit and the retry budget.
-    fn retry_within_budget(
-        &mut self,
-        result: Result<TargetResponse, CallError>,
-        reason: RetryReason,
-    ) -> Disposition {
+    fn retry_within_budget(&mut self, reason: RetryReason) -> Disposition {
         self.targets_reached += 1;
         if self.targets_reached >= self.attempt_limit {
-            return Disposition::Final(result);
+            return Disposition::Final;
         }
         let node_count = self.worker.shared.node_count.load(Ordering::Relaxed);
         match self.worker.shared.retry_budget().try_spend(
@@ -416,8 +400,8 @@
             reason,
             monotonic_ms(),
         ) {
-            true => Disposition::Retry(result),
-            false => Disposition::Final(result),
+            true => Disposition::Retry,
+            false => Disposition::Final,
         }
     }
 
@@ -432,6 +416,10 @@
             Err(error) => match error.code {
                 ResultCode::TargetShed | ResultCode::AnswerLost | ResultCode::AnswerDamaged => true,
                 ResultCode::DeadlineAfter => true,
+                ResultCode::TargetUnknown => {
+                    candidate.record_unknown(now);
+                    return;
+                }
                 _ => {
                     candidate.record_refusal(now);
                     return;
@@ -455,22 +443,6 @@
     }
 }
 
-/// Returns the result for the caller: a later "not run" must not replace an earlier "unknown".
-fn merge_results(
-    previous: Result<TargetResponse, CallError>,
-    current: Result<TargetResponse, CallError>,
-) -> Result<TargetResponse, CallError> {
-    match (&previous, &current) {
-        (Ok(_), Err(_)) => previous,
-        (Err(earlier), Err(later))
-            if earlier.code.run() == RunState::Unknown && later.code.run() == RunState::NotRun =>
-        {
-            previous
-        }
-        _ => current,
-    }
-}
-
 /// Sends the call to one target, directly if it is local, else through its node.
 async fn attempt(worker: &Worker, candidate: &Candidate, mut call: Call) -> AttemptOutcome {
     let guard = LoadGuard::begin(candidate);
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -7,7 +7,7 @@
 use kingcuplift_config::{Document, Kind, Resource, ResourceKey, ServiceSpec};
 use kingcuplift_core::{Event, PerSecond, ServiceName};
 use kingcuplift_schema::control::{Target, TargetState, TargetUpdate, upward};
-use kingcuplift_traffic::{AdmissionLimits, Lease, TargetKey, is_zone_out};
+use kingcuplift_traffic::{AdmissionLimits, Lease, TargetKey, WarmupPace, is_zone_out};
 use smol_str::SmolStr;
 
 use crate::clock::{monotonic_ms, wall_us};
@@ -88,7 +88,7 @@
             let assumed = if is_back { self.configured_warmup(key) } else { Duration::ZERO };
             let warmup = assumed.max(self.remaining_warmup(key));
             if !warmup.is_zero() {
-                local.admission.set_rate_limit(self.warmup_rate(key), warmup);
+                local.admission.set_rate_limit(self.warmup_pace(key), warmup);
             }
             if !assumed.is_zero() {
                 cold.push((key.clone(), monotonic_ms() + assumed.as_millis() as u64));
@@ -131,9 +131,11 @@
             .map_or(Duration::ZERO, |spec| spec.warmup)
     }
 
-    fn warmup_rate(&self, key: &TargetKey) -> PerSecond {
+    /// Returns the pace of calls to a local target while it is cold.
+    fn warmup_pace(&self, key: &TargetKey) -> WarmupPace {
         let spec = service_spec(self.config.document(), &key.service);
-        spec.and_then(|spec| spec.warmup_rate).unwrap_or(DEFAULT_WARMUP_RATE)
+        let rate = spec.and_then(|spec| spec.warmup_rate).unwrap_or(DEFAULT_WARMUP_RATE);
+        self.shared.warmup_tolerance.pace(rate)
     }
 
     fn admission_limits(&self, key: &TargetKey, lease: &Lease) -> AdmissionLimits {
@@ -181,7 +183,7 @@
         if let Some(report) = &message.report {
             match report.warmup.is_zero() {
                 true => local.admission.clear_rate_limit(),
-                false => local.admission.set_rate_limit(self.warmup_rate(&key), report.warmup),
+                false => local.admission.set_rate_limit(self.warmup_pace(&key), report.warmup),
             }
         }
         local.admission.set_limits(limits);
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -87,9 +87,9 @@
     let guard = worker.shared.begin_call();
     let local = worker.shared.local_targets.load().get(key).cloned();
     let outcome = match local {
-        None => CallError::from(ResultCode::TargetReplaced).into(),
+        None => CallError::from(ResultCode::TargetUnknown).into(),
         Some(local) if !instance.is_empty() && local.instance != *instance => {
-            CallError::from(ResultCode::TargetReplaced).into()
+            CallError::from(ResultCode::TargetUnknown).into()
         }
         Some(local) => admit(worker, key, &local, call).await,
     };
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -9,7 +9,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kingcuplift_core::logger::LogRateLimiter;
 use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, Version, ZoneName};
-use kingcuplift_traffic::{RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey};
+use kingcuplift_traffic::{
+    RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey, WarmupTolerance,
+    time_before_stop,
+};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -55,6 +58,8 @@
     pub(crate) startup: StartupWindow,
     pub(crate) local_targets: ArcSwap<LocalTargets>,
     retry_budget: Mutex<RetryBudget>,
+    /// Calls that cold targets bear beyond the rate that their service states.
+    pub(crate) warmup_tolerance: WarmupTolerance,
     evidence: Mutex<EvidenceTable>,
     /// Receiver of reports on local targets that refuse connections.
     pub(crate) control: OnceLock<Recipient<TargetDown>>,
@@ -84,6 +89,7 @@
             startup: StartupWindow::new(monotonic_ms()),
             local_targets: ArcSwap::default(),
             retry_budget: Mutex::new(RetryBudget::new(RetryLimits::default())),
+            warmup_tolerance: WarmupTolerance::default(),
             evidence: Mutex::new(EvidenceTable::default()),
             control: OnceLock::new(),
             node_count: AtomicUsize::new(1),
@@ -96,15 +102,17 @@
         }
     }
 
-    /// Sets the header names, the retry budget and the service of the VM.
+    /// Sets the header names, the retry budget, the tolerance of cold targets and the service of the VM.
     #[must_use]
     pub fn with_settings(
         mut self,
         headers: HeaderNames,
         retry_limits: RetryLimits,
+        warmup_tolerance: WarmupTolerance,
         service: Option<ServiceName>,
     ) -> Self {
         self.headers = headers;
+        self.warmup_tolerance = warmup_tolerance;
         self.retry_budget = Mutex::new(RetryBudget::new(retry_limits));
         self.service.store(service.map(Arc::new));
         self
@@ -140,6 +148,21 @@
         self.is_draining.store(true, Ordering::Release);
     }
 
+    /// Returns how long a caller's call may take: its `time`, or the time until the process ends if that is less.
+    ///
+    /// Refuses a call that could not meet its objective by then.
+    pub(crate) fn limit_to_shutdown(
+        &self,
+        started_at: Instant,
+        time: Duration,
+        objective: Duration,
+    ) -> Result<Duration, CallError> {
+        let Some(until) = self.stop_at.load_full() else { return Ok(time) };
+        let left = until.saturating_duration_since(started_at);
+        time_before_stop(time, objective, left)
+            .ok_or(CallError { code: ResultCode::Draining, retry_after: Some(RESTART_TIME) })
+    }
+
     /// Refuses a call whose deadline lies after the end of the process.
     pub(crate) fn check_shutdown(&self, deadline: Instant) -> Result<(), CallError> {
         match self.stop_at.load().as_deref() {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -14,7 +14,7 @@
 };
 use kingcuplift_keys::{Role, RoleSet};
 use kingcuplift_schema::settings as wire;
-use kingcuplift_traffic::RetryLimits;
+use kingcuplift_traffic::{RetryLimits, WarmupTolerance};
 use log::LevelFilter;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -26,6 +26,8 @@
 const DEFAULT_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Permitted election timeouts, in milliseconds.
 const ELECTION_TIMEOUT_RANGE_MS: std::ops::RangeInclusive<u64> = 50..=60_000;
+/// Time between the end of a graceful shutdown and the forced end of the process.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// Default time for a graceful shutdown; the default timeout of calls is shorter.
 const DEFAULT_SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(30);
 const MS_PER_SECOND: f64 = 1_000.0;
@@ -159,6 +161,8 @@
     pub headers: HeaderNames,
     /// Limits on the retries of all nodes together.
     pub retries: RetryLimits,
+    /// Calls that cold targets bear beyond the rate that their service states.
+    pub warmup: WarmupTolerance,
     /// Time for a graceful shutdown.
     pub shutdown_timeout: Duration,
 }
@@ -507,11 +511,8 @@
             target: self.optional("/node/target", wire.target.as_deref()),
             headers: self.headers(wire.headers),
             retries: self.retries(&wire.repeats.unwrap_or_default()),
-            shutdown_timeout: self.duration(
-                "/node/stop_ms",
-                wire.stop_ms,
-                DEFAULT_SHUTDOWN_TIMEOUT,
-            ),
+            warmup: self.warmup(&wire.warmup.unwrap_or_default()),
+            shutdown_timeout: self.shutdown_timeout(wire.stop_ms, wire.grace_s),
         })
     }
 
@@ -533,6 +534,18 @@
         }
     }
 
+    /// Returns the time for a graceful shutdown, which ends shortly before the process would be killed.
+    fn shutdown_timeout(&mut self, stop_ms: Option<f64>, grace_s: Option<f64>) -> Duration {
+        let grace_ms = grace_s.map(|seconds| seconds * MS_PER_SECOND);
+        match grace_ms {
+            None => self.duration("/node/stop_ms", stop_ms, DEFAULT_SHUTDOWN_TIMEOUT),
+            grace_ms => {
+                let grace = self.duration("/node/grace_s", grace_ms, DEFAULT_SHUTDOWN_TIMEOUT);
+                grace - KILL_MARGIN.min(grace / 2)
+            }
+        }
+    }
+
     fn retries(&mut self, wire: &wire::RepeatSettings) -> RetryLimits {
         let defaults = RetryLimits::default();
         let ratio = wire.ratio.unwrap_or(defaults.ratio);
@@ -550,6 +563,17 @@
         RetryLimits { ratio, slack, window_ms: window.as_millis() as u64 }
     }
 
+    fn warmup(&mut self, wire: &wire::WarmupSettings) -> WarmupTolerance {
+        let defaults = WarmupTolerance::default();
+        let factor = wire.factor.unwrap_or(defaults.factor);
+        let slack = wire.slack.unwrap_or(defaults.slack);
+        if factor < 1.0 || slack < 0.0 {
+            let detail = "use a factor of 1 or more and a slack of 0 or more";
+            self.add_fault(ResultCode::SettingsBadValue, "/node/warmup", detail);
+        }
+        WarmupTolerance { factor, slack }
+    }
+
     /// Converts a number of milliseconds; an invalid one is a fault.
     fn duration(&mut self, path: &str, ms: Option<f64>, default: Duration) -> Duration {
         match ms {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,6 +22,8 @@
 
 /// Fraction of the shutdown timeout between the notification of callers and that of other nodes.
 const CALLER_NOTICE_FRACTION: f64 = 0.42;
+/// Maximum time between these notifications.
+const MAX_CALLER_NOTICE: Duration = Duration::from_millis(2_500);
 /// Maximum time between the notification of other nodes and the closing of connections.
 const NODE_NOTICE_PERIOD: Duration = Duration::from_millis(350);
 /// Interval of the checks for a changed settings file.
@@ -141,7 +143,8 @@
         let endpoint = self.bind(any_port, credentials)?;
         let shared = NodeShared::new(options.name.clone(), options.zone.clone());
         let (headers, service) = (node.headers.clone(), node.service.clone());
-        let shared = Arc::new(shared.with_settings(headers, node.retries, service));
+        let shared = shared.with_settings(headers, node.retries, node.warmup, service);
+        let shared = Arc::new(shared);
         let actor = NodeActor::new(
             Arc::clone(&shared),
             node.advertise.to_string(),
@@ -201,7 +204,8 @@
     async fn shut_down(&self) {
         let deadline = Instant::now() + self.shutdown_timeout;
         self.shared.begin_shutdown(deadline);
-        tokio::time::sleep(self.shutdown_timeout.mul_f64(CALLER_NOTICE_FRACTION)).await;
+        let notice = self.shutdown_timeout.mul_f64(CALLER_NOTICE_FRACTION);
+        tokio::time::sleep(notice.min(MAX_CALLER_NOTICE)).await;
         if self.actor.send(node::Drain).await.is_err() {
             log::warn!("the node's actor ended before the shutdown");
         }
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -4,7 +4,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use kingcuplift_core::{PerSecond, Rank, ResultCode};
+use kingcuplift_core::{Rank, ResultCode};
+
+use crate::cold_rush::WarmupPace;
 
 /// One in this many releases serves the call that has waited longest, regardless of rank.
 const FAIRNESS_INTERVAL: u64 = 16;
@@ -14,8 +16,6 @@
 const LATE_CALLS_DIVISOR: u32 = 1;
 /// Weight of the newest wait in the moving average of a rank: one in this many.
 const WAIT_DIVISOR: u64 = 4;
-/// Calls to a cold target that may run at once after an idle period.
-const RATE_BURST: u64 = 2;
 /// Microseconds in a second.
 const SECOND_US: f64 = 1_000_000.0;
 /// Weight of the newest service time in the moving average: one in this many.
@@ -92,6 +92,8 @@
 #[derive(Debug, Clone, Copy)]
 struct RateLimit {
     interval_us: u64,
+    /// Time by which calls may run early after an idle period, in microseconds.
+    burst_us: u64,
     /// Time at which the next call may run.
     next_us: u64,
     until_us: u64,
@@ -107,8 +109,7 @@
     }
 
     fn take(&mut self, now_us: u64) {
-        let burst = self.interval_us * RATE_BURST;
-        self.next_us = self.next_us.max(now_us.saturating_sub(burst)) + self.interval_us;
+        self.next_us = self.next_us.max(now_us.saturating_sub(self.burst_us)) + self.interval_us;
     }
 }
 
@@ -154,10 +155,14 @@
     }
 
     /// Limits the rate of calls to a cold target until `until_us`.
-    pub fn set_rate_limit(&mut self, rate: PerSecond, until_us: u64, now_us: u64) {
-        let interval_us = (SECOND_US / rate.get().max(f64::MIN_POSITIVE)).min(SECOND_US) as u64;
-        let next_us = self.rate_limit.map_or(now_us, |limit| limit.next_us);
-        self.rate_limit = Some(RateLimit { interval_us, next_us, until_us });
+    pub fn set_rate_limit(&mut self, pace: impl Into<WarmupPace>, until_us: u64, now_us: u64) {
+        let pace = pace.into();
+        let interval = (SECOND_US / pace.rate.get().max(f64::MIN_POSITIVE)).min(SECOND_US);
+        let burst_us = (interval * pace.burst) as u64;
+        let rested = now_us.saturating_sub(burst_us);
+        let next_us = self.rate_limit.map_or(rested, |limit| limit.next_us);
+        self.rate_limit =
+            Some(RateLimit { interval_us: interval as u64, burst_us, next_us, until_us });
     }
 
     /// Removes the rate limit.
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -54,6 +54,8 @@
 const FIRST_BACKOFF_MS: u64 = 250;
 /// Longest back-off, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 2_000;
+/// Time for which a target that its node does not know is avoided unless it is announced anew, in milliseconds.
+const UNKNOWN_BACKOFF_MS: u64 = 15_000;
 
 /// Load of a target, as reported by the node beside it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,6 +122,8 @@
     /// Calls of this node that were in flight when the report came.
     in_flight_at_report: AtomicU32,
     reported_at: AtomicU64,
+    /// Incarnation of the latest announcement.
+    incarnation: AtomicU64,
     /// Time until which the target is cold, in milliseconds.
     cold_until: AtomicU64,
     /// Moving average of the failure rate, as bits of an `f32`.
@@ -145,6 +149,7 @@
             limit: AtomicU32::new(0),
             in_flight_at_report: AtomicU32::new(0),
             reported_at: AtomicU64::new(0),
+            incarnation: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             failure_rate: AtomicU32::new(0),
             failure_rate_at: AtomicU64::new(0),
@@ -159,9 +164,15 @@
         self
     }
 
-    /// Sets the time until which the target is cold by its announcement.
-    pub fn set_cold_until(&self, until_ms: u64) {
-        self.cold_until.store(until_ms, Ordering::Relaxed);
+    /// Records an announcement: its incarnation, and the time until which the target is cold.
+    ///
+    /// A new announcement ends the back-off.
+    pub fn record_announcement(&self, incarnation: u64, cold_until_ms: u64) {
+        self.cold_until.store(cold_until_ms, Ordering::Relaxed);
+        if self.incarnation.swap(incarnation, Ordering::Relaxed) != incarnation {
+            self.refusals.store(0, Ordering::Relaxed);
+            self.avoided_until.store(0, Ordering::Relaxed);
+        }
     }
 
     /// Records that a call was sent.
@@ -212,6 +223,11 @@
         self.avoided_until.store(until, Ordering::Relaxed);
     }
 
+    /// Records that the node beside the target does not know it, and avoids the target until it is announced anew.
+    pub fn record_unknown(&self, now_ms: u64) {
+        self.avoided_until.store(now_ms + UNKNOWN_BACKOFF_MS, Ordering::Relaxed);
+    }
+
     fn failure_rate(&self, now_ms: u64) -> f32 {
         let average = f32::from_bits(self.failure_rate.load(Ordering::Relaxed));
         let age = now_ms.saturating_sub(self.failure_rate_at.load(Ordering::Relaxed));
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod admission;
 mod choice;
+mod cold_rush;
 mod concurrency;
 mod handshakes;
 mod lease;
 mod move_policy;
+mod planned_stop;
 mod progress;
 mod registry;
 mod restart_rush;
@@ -19,14 +21,16 @@
 
 pub use admission::{Admission, AdmissionLimits, CallId, CallTimes, Decision, Release};
 pub use choice::{CallEstimate, Candidate, LoadReport, SelectionContext, select_target};
+pub use cold_rush::{WarmupPace, WarmupTolerance};
 pub use concurrency::{CallOutcome, ConcurrencyLimit};
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
 pub use move_policy::{MoveEvidence, MoveStage, MoveStep, Regression, Side, next_step};
+pub use planned_stop::time_before_stop;
 pub use progress::{ProgressReporter, ProgressTracker, VersionProgress, ZoneProgress};
 pub use registry::{RemoteMerge, TargetRegistry};
 pub use restart_rush::StartupWindow;
-pub use retry::{Attempt, may_retry};
+pub use retry::{Attempt, AttemptResults, RetryRule, may_retry, retry_rule};
 pub use retry_budget::{RetryBudget, RetryLimits, RetryReason};
 pub use router::{RouteMatch, Router};
 pub use table::{MergeResult, TargetKey, TargetTable};
--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -271,13 +271,13 @@
             && candidate.instance == target.instance
     };
     if let Some(candidate) = existing.iter().find(is_same) {
-        candidate.set_cold_until(cold_until);
+        candidate.record_announcement(target.incarnation, cold_until);
         return Some(Arc::clone(candidate));
     }
     let zone = target.zone.parse().ok()?;
     let instance = SmolStr::new(&target.instance);
     let peer = target.peer.clone();
     let candidate = Candidate::new(key.clone(), zone, peer, target.slots).with_instance(instance);
-    candidate.set_cold_until(cold_until);
+    candidate.record_announcement(target.incarnation, cold_until);
     Some(Arc::new(candidate))
 }
--- a/crates/traffic/tests/target_choice.rs
+++ b/crates/traffic/tests/target_choice.rs
@@ -175,7 +175,7 @@
             for known in &candidates[..7] {
                 known.record_load(busy, NOW_MS - 10);
             }
-            candidates[7].set_cold_until(until_ms);
+            candidates[7].record_announcement(1, until_ms);
         }
     };
     assert_eq!(select_on_all_nodes(cold(NOW_MS + 1))[7], 0, "the others have free slots");
@@ -186,7 +186,17 @@
             known.record_load(full, NOW_MS - 10);
         }
         candidates[7].record_load(LoadReport { busy: 1, limit: 4 }, NOW_MS - 10);
-        candidates[7].set_cold_until(NOW_MS + 1_000);
+        candidates[7].record_announcement(1, NOW_MS + 1_000);
     });
     assert!(counts[7] > 0, "the cold target gets calls when the others are full");
 }
+
+/// Addresses of gone targets went on taking calls every few hundred milliseconds, as their back-off was short.
+#[test]
+fn target_unknown_to_its_node_is_avoided() {
+    let candidates = [candidate("1", "a"), candidate("2", "b")];
+    candidates[0].record_unknown(NOW_MS);
+    assert_eq!(select_often(&candidates, &[], NOW_MS + 10_000)[0], 0);
+    candidates[0].record_announcement(7, 0);
+    assert_eq!(select_often(&candidates, &[], NOW_MS + 10_000)[1], 0, "it is announced anew");
+}
