Break off answers that never end; end moves in time that began late

Causes: a body beyond 128 KiB was streamed to the caller without any time limit, so an answer that never ends held the caller, the node between and the target's connection until 256 MiB had passed.

Change: a streamed response ends with its call's deadline, as a broken one. Shares of a move are kept for less, 0.6 s at least, when the time that is left does not suffice; the last one still for 2 s.

--- a/crates/daemon/src/node/body.rs
+++ b/crates/daemon/src/node/body.rs
@@ -2,12 +2,14 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Incoming};
-use kingcuplift_core::ByteSize;
+use kingcuplift_core::{ByteSize, ResultCode};
+use tokio::time::Sleep;
 
 /// Largest body that is buffered; a call with a larger one can't be retried.
 const MAX_BUFFERED: ByteSize = ByteSize::kib(128);
@@ -27,6 +29,8 @@
         remaining: u64,
         /// Length of the complete body, if known.
         length: Option<u64>,
+        /// Fires when the rest must have arrived; `None` means that there is no such time.
+        deadline: Option<Pin<Box<Sleep>>>,
     },
 }
 
@@ -39,6 +43,19 @@
     /// The body exceeds the size limit.
     #[error("the body exceeds the size limit")]
     TooLarge,
+    /// The body did not end before the call's deadline.
+    #[error("the body did not end before the deadline")]
+    DeadlinePassed,
+}
+
+impl From<BodyError> for ResultCode {
+    /// Returns the code for a caller whose body can't be read.
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::Interrupted(_) | BodyError::DeadlinePassed => Self::CallMalformed,
+            BodyError::TooLarge => Self::BodyTooLarge,
+        }
+    }
 }
 
 impl Body {
@@ -55,6 +72,15 @@
         }
     }
 
+    /// Breaks a streamed body off at `at` if it has not ended by then.
+    #[must_use]
+    pub(crate) fn with_deadline(mut self, at: Instant) -> Self {
+        if let Self::Streaming { deadline, .. } = &mut self {
+            *deadline = Some(Box::pin(tokio::time::sleep_until(at.into())));
+        }
+        self
+    }
+
     /// Reads a body completely if it is small; a larger one is returned for streaming.
     pub(crate) async fn read(mut incoming: Incoming, limit: u64) -> Result<Self, BodyError> {
         let length = incoming.size_hint().exact();
@@ -68,6 +94,7 @@
                     rest,
                     remaining: limit,
                     length: Some(length),
+                    deadline: None,
                 });
             }
             _ => {}
@@ -92,7 +119,8 @@
             if size > MAX_BUFFERED.get() {
                 let prefix = if buffer.is_empty() { first } else { Some(buffer.freeze()) };
                 let remaining = limit - size;
-                return Ok(Self::Streaming { prefix, rest: Box::new(incoming), remaining, length });
+                let rest = Box::new(incoming);
+                return Ok(Self::Streaming { prefix, rest, remaining, length, deadline: None });
             }
         }
         match buffer.is_empty() {
@@ -112,7 +140,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streaming { prefix, rest, remaining, .. } => {
+            Self::Streaming { prefix, rest, remaining, deadline, .. } => {
+                if deadline.as_mut().is_some_and(|sleep| sleep.as_mut().poll(cx).is_ready()) {
+                    return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
+                }
                 if let Some(bytes) = prefix.take() {
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -20,7 +20,7 @@
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
 use crate::metrics;
-use crate::node::body::{Body, BodyError};
+use crate::node::body::Body;
 use crate::node::envelope::{Envelope, take_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
 use crate::node::headers::{self, CAPACITY_WAIT, CODE, ENVELOPE, LOAD, strip_hop_by_hop};
@@ -77,11 +77,8 @@
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
     let time = worker.shared.limit_to_shutdown(started_at, time, route.objective)?;
-    let body = match Body::read(incoming, view.limits().max_body_size.get()).await {
-        Ok(body) => body,
-        Err(BodyError::Interrupted(_)) => return Err(ResultCode::CallMalformed.into()),
-        Err(BodyError::TooLarge) => return Err(ResultCode::BodyTooLarge.into()),
-    };
+    let body = Body::read(incoming, view.limits().max_body_size.get()).await;
+    let body = body.map_err(ResultCode::from)?;
     let call = make_call(&worker.shared, parts, body, route, started_at, time);
     let name = route.draw_service(&mut rand::rng());
     let service = view.service(name.as_str()).ok_or(ResultCode::NoTarget)?;
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -126,6 +126,7 @@
     call: Call,
     reuse: bool,
 ) -> Result<TargetResponse, ResultCode> {
+    let deadline = call.deadline;
     let mut request = Request::new(call.body);
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().map_err(|_invalid| ResultCode::CallMalformed)?;
@@ -141,5 +142,5 @@
     }
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
-    Ok(TargetResponse { status: parts.status, headers, body })
+    Ok(TargetResponse { status: parts.status, headers, body: body.with_deadline(deadline) })
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::error::StartError;
 use crate::metrics;
-use crate::node::body::{Body, BodyError};
+use crate::node::body::Body;
 use crate::node::control::TargetDown;
 use crate::node::envelope::{Envelope, write_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
@@ -46,8 +46,7 @@
     };
     let body = match Body::read(incoming, MAX_CALL_BODY.get()).await {
         Ok(body) => body,
-        Err(BodyError::Interrupted(_)) => return error_response(ResultCode::CallMalformed.into()),
-        Err(BodyError::TooLarge) => return error_response(ResultCode::BodyTooLarge.into()),
+        Err(error) => return error_response(ResultCode::from(error).into()),
     };
     strip_hop_by_hop(&mut headers);
     let id = worker.shared.headers.call.as_ref().and_then(|name| headers.get(name).cloned());
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod addresses;
 mod cluster;
+mod desk;
 mod disk;
 mod plaintext_site;
 mod process;
@@ -13,6 +14,7 @@
 mod soak;
 
 pub use cluster::{Cluster, ELECTION_TIMEOUT, member_id};
+pub use desk::{call_desk, desk_configuration, put_revision, report_desk, start_desk_site};
 pub use disk::{DiskFault, FakeDisk};
 pub use plaintext_site::{
     NodeAddresses, PlaintextSite, ProxiedAddress, RawResponse, request, send_request,
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -194,6 +194,15 @@
         assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
+    /// Returns the peak resident memory of a process, in KiB.
+    pub fn peak_memory(&self, name: &str) -> u64 {
+        let path = format!("/proc/{}/status", self.running[name].id());
+        let status = std::fs::read_to_string(path).expect("the process is running");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.expect("the peak is stated")
+    }
+
     /// Waits until a process has exited and returns whether it did so with success.
     pub fn wait_exited(&mut self, name: &str) -> bool {
         let mut child = self.running.remove(name).expect("the process is running");
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -22,8 +22,20 @@
     Disconnect,
     /// Never responds; waits until the peer closes the connection.
     Hang,
+    /// Sends these bytes, then `filler` again and again until the peer closes the connection.
+    Endless {
+        /// Bytes before the filler.
+        start: &'static str,
+        /// Bytes that are repeated.
+        filler: &'static str,
+        /// Time between two repetitions.
+        pause: Duration,
+    },
 }
 
+/// Repetitions of the filler of an endless response that are sent at a time if there is no pause.
+const FILLER_BATCH: usize = 1_024;
+
 /// A request that a [`ScriptedTarget`] received.
 #[derive(Debug, Clone, Default)]
 pub struct ReceivedRequest {
@@ -101,9 +113,18 @@
                 TargetBehavior::Hang => {
                     // The read returns when the peer closes the connection.
                     let _closed = stream.read(&mut [0]);
-                    let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
-                    requests[index].closed_at = Some(Instant::now());
-                    return;
+                    return self.record_close(index);
+                }
+                TargetBehavior::Endless { start, filler, pause } => {
+                    let start = start.replace("ID", id);
+                    let batch = if pause.is_zero() { FILLER_BATCH } else { 1 };
+                    let filler = filler.repeat(batch);
+                    let mut written = stream.write_all(start.as_bytes());
+                    while written.is_ok() {
+                        std::thread::sleep(pause);
+                        written = stream.write_all(filler.as_bytes());
+                    }
+                    return self.record_close(index);
                 }
             };
             if written.is_err() {
@@ -111,6 +132,12 @@
             }
         }
     }
+
+    /// Records that the peer closed the connection of a request before the response was complete.
+    fn record_close(&self, index: usize) {
+        let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        requests[index].closed_at = Some(Instant::now());
+    }
 }
 
 fn respond(stream: &mut TcpStream, status: &str, headers: &str) -> std::io::Result<()> {
--- a/crates/traffic/src/move_policy.rs
+++ b/crates/traffic/src/move_policy.rs
@@ -17,10 +17,14 @@
 const FIRST_SHARE: u16 = 40;
 /// Fraction of the move's duration for which the first share is kept.
 const TRIAL_FRACTION: f64 = 0.35;
-/// Later shares, in thousandths, each kept for [`STEP_TIME`].
+/// Later shares, in thousandths, each kept for [`STEP_TIME`] if the time suffices.
 const LATER_SHARES: [u16; 4] = [100, 250, 500, WHOLE_SHARE];
 /// Time for which each later share is kept.
 const STEP_TIME: Duration = Duration::from_millis(1_200);
+/// Minimum time for which each later share is kept: evidence on it must arrive.
+const MIN_STEP_TIME: Duration = Duration::from_millis(600);
+/// Time before the end of a move by which it should be done.
+const END_MARGIN: Duration = Duration::from_millis(800);
 /// Minimum time at the whole share, so that calls at the old version end before the move does.
 const WHOLE_SHARE_TIME: Duration = Duration::from_millis(2_000);
 /// Fraction of the move's duration after which it is done; until then it can be rolled back.
@@ -206,6 +210,14 @@
     RollBack(Option<Regression>),
 }
 
+/// Returns how long the current share is kept: less than usual if the move began late, so that it still ends in time.
+fn step_time(stage: MoveStage) -> Duration {
+    let steps = LATER_SHARES.iter().filter(|share| **share > stage.new_share).count().max(1);
+    let changed_at = stage.elapsed.saturating_sub(stage.since_change);
+    let left = stage.within.saturating_sub(changed_at + WHOLE_SHARE_TIME + END_MARGIN);
+    (left / steps as u32).clamp(MIN_STEP_TIME, STEP_TIME)
+}
+
 /// Decides the next step of a move.
 pub fn next_step(stage: MoveStage, evidence: &MoveEvidence) -> MoveStep {
     if let Some(regression) = evidence.regression() {
@@ -229,7 +241,9 @@
         {
             MoveStep::Wait
         }
-        _ if stage.new_share > FIRST_SHARE && stage.since_change < STEP_TIME => MoveStep::Wait,
+        _ if stage.new_share > FIRST_SHARE && stage.since_change < step_time(stage) => {
+            MoveStep::Wait
+        }
         share => match LATER_SHARES.into_iter().find(|later| *later > share) {
             Some(later) => MoveStep::Share(later),
             None => MoveStep::Wait,
