Keep nodes at their relay through an election; rebuild the view of a service in linear time

After the loss of all power an election takes up to 1.2 s, so 324 nodes opened 748 links, at relays that were then busy with the new leader. Each change of one target compared all pairs of a service's 183 targets. And a new leader logged all versions of earlier terms again, 66 lines on 0.075 of a core.

Change: until any peer was in contact with a leader, the first link is left after 1.6 s; candidates are found by key; outcomes are logged once, when they are decided.

A node that starts at a relay that is cut off waits 0.8 s longer.

--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -170,7 +170,10 @@
         let outcome = self.catalog.apply(&submission);
         let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
         if is_leader {
-            log_outcome(&submission, &outcome);
+            // Entries of earlier terms have no token; their outcomes were logged when they were decided.
+            if token.is_some() {
+                log_outcome(&submission, &outcome);
+            }
             self.relays.fanout.wake_all();
         }
         let waiting = token.and_then(|token| self.pending_responses.remove(&token));
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -22,6 +22,8 @@
 const MAX_RETRY_DELAY_MS: u64 = 800;
 /// Initial time after which a link is dropped when its peer has had no contact with a current leader.
 const INITIAL_STALE_TIMEOUT: Duration = Duration::from_millis(800);
+/// The same as long as no peer has had contact since the start: after a restart of the site, all wait for an election.
+const STARTUP_STALE_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Maximum doublings of that time while no peer has contact with a leader.
 const MAX_STALE_DOUBLINGS: usize = 4;
 /// Upper bound, exclusive, of the random index of the first address.
@@ -309,6 +311,7 @@
         let rounds = self.dropped / self.candidates.max(1);
         let timeout = match (self.fresh_at, rounds) {
             (None, 0) if self.was_ever_fresh => Duration::ZERO,
+            (None, 0) if self.dropped == 0 => STARTUP_STALE_TIMEOUT,
             _ => INITIAL_STALE_TIMEOUT * (1 << rounds.min(MAX_STALE_DOUBLINGS)),
         };
         let since = self.fresh_at.or(self.opened_at);
--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -2,7 +2,7 @@
 //!
 //! Updates are incremental: only the hosts and services that a change affects are rebuilt, and clones share the rest.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use kingcuplift_config::{
@@ -157,11 +157,13 @@
         };
         let before = self.services.get(name).cloned();
         let existing = before.as_ref().map(|view| view.candidates.as_slice()).unwrap_or_default();
+        let existing: HashMap<&TargetKey, &Arc<Candidate>> =
+            existing.iter().map(|candidate| (&candidate.key, candidate)).collect();
         let serving = serving_versions(document, &key);
         let candidates: Vec<Arc<Candidate>> = table
             .of_service(name)
             .filter(|(_, target)| takes_calls(document, target, &serving))
-            .filter_map(|(key, target)| candidate(existing, key, target, table.cold_until(key)))
+            .filter_map(|(key, target)| candidate(&existing, key, target, table.cold_until(key)))
             .collect();
         let held_back = held_back(&candidates, &serving);
         let view = ServiceView { spec: spec.clone(), candidates, serving, held_back };
@@ -259,20 +261,19 @@
 
 /// Returns the candidate of a target; reuses the one in `existing`, with its load, if the target is unchanged.
 fn candidate(
-    existing: &[Arc<Candidate>],
+    existing: &HashMap<&TargetKey, &Arc<Candidate>>,
     key: &TargetKey,
     target: &Target,
     cold_until: u64,
 ) -> Option<Arc<Candidate>> {
-    let is_same = |candidate: &&Arc<Candidate>| {
-        candidate.key == *key
-            && candidate.peer == target.peer
+    let is_same = |candidate: &&&Arc<Candidate>| {
+        candidate.peer == target.peer
             && candidate.slots == target.slots
             && candidate.instance == target.instance
     };
-    if let Some(candidate) = existing.iter().find(is_same) {
+    if let Some(candidate) = existing.get(key).filter(is_same) {
         candidate.record_announcement(target.incarnation, cold_until);
-        return Some(Arc::clone(candidate));
+        return Some(Arc::clone(*candidate));
     }
     let zone = target.zone.parse().ok()?;
     let instance = SmolStr::new(&target.instance);
