Announce targets that lose answers, so that all nodes prefer others

Change: the node beside a target, which sees all of its answers, estimates the fraction that is lost or spoiled (LossMeter, half-life 1 s) and announces two coarse levels with the target. The choice counts them like failures of the node's own calls. Overload and failures that a target states are left out, because they come to all targets at once.

Tests: grey_targets (announced within 1.4 s, taken back, few announcements; rare losses none), target_choice::target_that_loses_answers_is_avoided_by_all_nodes (fails before: the own VM's target was taken).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -139,6 +139,8 @@
     TargetLost = 404, Warn;
     /// A target's status report can't be parsed and was ignored.
     ReportRefused = 405, Warn;
+    /// The fraction of answers that a target loses or spoils has changed by a level; calls prefer other targets.
+    TargetLosses = 406, Warn;
     /// A call was refused and not executed; lines beyond a rate limit are only counted.
     CallRefused = 501, Warn;
     /// A call may have been executed but got no response from its target; lines beyond a rate limit are only counted.
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -32,7 +32,7 @@
 use crate::node::shared::NodeShared;
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
-/// Interval of the checks for expired leases.
+/// Interval of the checks for expired leases, and for changed losses of local targets.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of the reports of call statistics by target version.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
@@ -286,7 +286,10 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(LEASE_CHECK_INTERVAL, |actor, _| actor.expire_leases());
+        ctx.run_interval(LEASE_CHECK_INTERVAL, |actor, _| {
+            actor.expire_leases();
+            actor.announce_losses();
+        });
         ctx.run_interval(EVIDENCE_INTERVAL, |actor, _| actor.report_evidence());
         // Setting the recipient fails only for a second actor on the same state, which is a bug.
         drop(self.shared.control.set(ctx.address().recipient()));
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -126,6 +126,23 @@
         Duration::from_millis(warm_at_ms.saturating_sub(monotonic_ms()))
     }
 
+    /// Returns the announced fraction of lost answers of a local target, in thousandths.
+    fn announced_losses(&self, key: &TargetKey) -> u32 {
+        let local_targets = self.shared.local_targets.load();
+        local_targets.get(key).map_or(0, |local| local.losses().announced())
+    }
+
+    /// Announces the local targets whose fraction of lost answers has changed.
+    pub(super) fn announce_losses(&mut self) {
+        let now = monotonic_ms();
+        let local_targets = self.shared.local_targets.load_full();
+        for (key, local) in local_targets.iter() {
+            let Some(lost_permille) = local.losses().poll(now) else { continue };
+            Event::TargetLosses.emit(&[("target", key), ("lost_permille", &lost_permille)]);
+            self.republish_target(key);
+        }
+    }
+
     fn configured_warmup(&self, key: &TargetKey) -> Duration {
         service_spec(self.config.document(), &key.service)
             .map_or(Duration::ZERO, |spec| spec.warmup)
@@ -266,7 +283,7 @@
             (None, None) => Arc::new(AdmissionController::with_adaptive_limit(limits)),
         };
         let instance = report.map(|report| report.instance.clone()).unwrap_or_default();
-        let local = Arc::new(LocalTarget { address, instance, admission });
+        let local = Arc::new(LocalTarget::new(address, instance, admission));
         self.modify_local_targets(|targets| drop(targets.insert(key.clone(), Arc::clone(&local))));
         local
     }
@@ -362,6 +379,7 @@
                 .unwrap_or_default(),
             born: self.instances.get(key).map_or(0, |known| known.report.start_time_ms),
             cold_ms: self.remaining_warmup(key).as_millis() as u32,
+            lost_permille: self.announced_losses(key),
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -11,6 +11,7 @@
 use kingcuplift_traffic::{CallOutcome, LoadReport, TargetKey};
 use smol_str::SmolStr;
 
+use crate::clock::monotonic_ms;
 use crate::error::StartError;
 use crate::metrics;
 use crate::node::body::Body;
@@ -122,6 +123,9 @@
     metrics::TARGET_TIME.observe(elapsed.as_secs_f64());
     let observed = call_outcome(&result);
     permit.finish(&route, observed);
+    if let Some(lost) = answer_lost(&result) {
+        local.losses().record(lost, monotonic_ms());
+    }
     if matches!(result, Err(ResultCode::TargetRefused)) {
         worker.pool.close_idle(local.address);
         TargetDown { key: key.clone(), instance: local.instance.clone() }.send(&worker.shared);
@@ -190,6 +194,15 @@
     }
 }
 
+/// Returns whether the target lost or spoiled its answer; `None` if the result says nothing of that.
+fn answer_lost(result: &Result<TargetResponse, ResultCode>) -> Option<bool> {
+    match result {
+        Ok(_) | Err(ResultCode::AnswerTooLarge) => Some(false),
+        Err(ResultCode::AnswerLost | ResultCode::AnswerDamaged) => Some(true),
+        Err(_) => None,
+    }
+}
+
 /// Classifies a call's result for the concurrency limit of the target.
 fn call_outcome(result: &Result<TargetResponse, ResultCode>) -> CallOutcome {
     match result {
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -10,7 +10,7 @@
 use kingcuplift_core::logger::LogRateLimiter;
 use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, Version, ZoneName};
 use kingcuplift_traffic::{
-    RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey, WarmupTolerance,
+    LossMeter, RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey, WarmupTolerance,
     time_before_stop,
 };
 use smol_str::SmolStr;
@@ -37,6 +37,22 @@
     /// Instance name that the target reports; empty if it reports none.
     pub(crate) instance: SmolStr,
     pub(crate) admission: Arc<AdmissionController>,
+    losses: Mutex<LossMeter>,
+}
+
+impl LocalTarget {
+    pub(crate) fn new(
+        address: std::net::SocketAddr,
+        instance: SmolStr,
+        admission: Arc<AdmissionController>,
+    ) -> Self {
+        Self { address, instance, admission, losses: Mutex::default() }
+    }
+
+    /// Returns the meter of lost answers.
+    pub(crate) fn losses(&self) -> MutexGuard<'_, LossMeter> {
+        self.losses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Targets on this node's VM.
--- a/crates/traffic/src/choice.rs
+++ b/crates/traffic/src/choice.rs
@@ -66,6 +66,17 @@
     pub limit: u32,
 }
 
+/// What a target's latest announcement says of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Announcement {
+    /// Incarnation of the announcement.
+    pub incarnation: u64,
+    /// Time until which the target is cold, in milliseconds.
+    pub cold_until_ms: u64,
+    /// Fraction of the answers that the target loses or spoils, in thousandths.
+    pub lost_permille: u32,
+}
+
 /// Estimate of a call before it is sent.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CallEstimate {
@@ -126,6 +137,8 @@
     incarnation: AtomicU64,
     /// Time until which the target is cold, in milliseconds.
     cold_until: AtomicU64,
+    /// Announced fraction of lost answers, in thousandths.
+    lost_permille: AtomicU32,
     /// Moving average of the failure rate, as bits of an `f32`.
     failure_rate: AtomicU32,
     failure_rate_at: AtomicU64,
@@ -151,6 +164,7 @@
             reported_at: AtomicU64::new(0),
             incarnation: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
+            lost_permille: AtomicU32::new(0),
             failure_rate: AtomicU32::new(0),
             failure_rate_at: AtomicU64::new(0),
             slowness: AtomicU32::new(1.0_f32.to_bits()),
@@ -164,11 +178,11 @@
         self
     }
 
-    /// Records an announcement: its incarnation, and the time until which the target is cold.
-    ///
-    /// A new announcement ends the back-off.
-    pub fn record_announcement(&self, incarnation: u64, cold_until_ms: u64) {
+    /// Records an announcement; a new one ends the back-off.
+    pub fn record_announcement(&self, announcement: Announcement) {
+        let Announcement { incarnation, cold_until_ms, lost_permille } = announcement;
         self.cold_until.store(cold_until_ms, Ordering::Relaxed);
+        self.lost_permille.store(lost_permille, Ordering::Relaxed);
         if self.incarnation.swap(incarnation, Ordering::Relaxed) != incarnation {
             self.refusals.store(0, Ordering::Relaxed);
             self.avoided_until.store(0, Ordering::Relaxed);
@@ -281,7 +295,8 @@
             ref node if node == context.node => 0.0,
             _ => REMOTE_COST,
         };
-        let failures = f64::from(self.failure_rate(now_ms)) * FAILURE_COST;
+        let announced = f64::from(self.lost_permille.load(Ordering::Relaxed)) / 1_000.0;
+        let failures = f64::from(self.failure_rate(now_ms)).max(announced) * FAILURE_COST;
         let queueing = if utilization >= 1.0 { QUEUE_COST } else { 0.0 };
         let cold = if now_ms < self.cold_until.load(Ordering::Relaxed) { COLD_COST } else { 0.0 };
         lateness
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod cold_rush;
 mod concurrency;
+mod grey_target;
 mod handshakes;
 mod lease;
 mod move_policy;
@@ -20,9 +21,12 @@
 mod view;
 
 pub use admission::{Admission, AdmissionLimits, CallId, CallTimes, Decision, Release};
-pub use choice::{CallEstimate, Candidate, LoadReport, SelectionContext, select_target};
+pub use choice::{
+    Announcement, CallEstimate, Candidate, LoadReport, SelectionContext, select_target,
+};
 pub use cold_rush::{WarmupPace, WarmupTolerance};
 pub use concurrency::{CallOutcome, ConcurrencyLimit};
+pub use grey_target::LossMeter;
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
 pub use move_policy::{MoveEvidence, MoveStage, MoveStep, Regression, Side, next_step};
--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use smol_str::SmolStr;
 
-use crate::choice::Candidate;
+use crate::choice::{Announcement, Candidate};
 use crate::router::Router;
 use crate::table::{TargetKey, TargetTable};
 
@@ -271,14 +271,19 @@
             && candidate.slots == target.slots
             && candidate.instance == target.instance
     };
+    let announcement = Announcement {
+        incarnation: target.incarnation,
+        cold_until_ms: cold_until,
+        lost_permille: target.lost_permille,
+    };
     if let Some(candidate) = existing.get(key).filter(is_same) {
-        candidate.record_announcement(target.incarnation, cold_until);
+        candidate.record_announcement(announcement);
         return Some(Arc::clone(*candidate));
     }
     let zone = target.zone.parse().ok()?;
     let instance = SmolStr::new(&target.instance);
     let peer = target.peer.clone();
     let candidate = Candidate::new(key.clone(), zone, peer, target.slots).with_instance(instance);
-    candidate.record_announcement(target.incarnation, cold_until);
+    candidate.record_announcement(announcement);
     Some(Arc::new(candidate))
 }
--- a/crates/traffic/tests/target_choice.rs
+++ b/crates/traffic/tests/target_choice.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use kingcuplift_traffic::{
-    CallEstimate, Candidate, LoadReport, SelectionContext, TargetKey, select_target,
+    Announcement, CallEstimate, Candidate, LoadReport, SelectionContext, TargetKey, select_target,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -25,6 +25,10 @@
     Arc::new(Candidate::new(key, zone, format!("{node}:1"), SLOTS))
 }
 
+fn announcement(incarnation: u64, cold_until_ms: u64, lost_permille: u32) -> Announcement {
+    Announcement { incarnation, cold_until_ms, lost_permille }
+}
+
 /// Counts how often each target is selected.
 fn select_often(candidates: &[Arc<Candidate>], tried: &[TargetKey], now_ms: u64) -> Vec<usize> {
     let zone = "a".parse().expect("the zone name is valid");
@@ -175,7 +179,7 @@
             for known in &candidates[..7] {
                 known.record_load(busy, NOW_MS - 10);
             }
-            candidates[7].record_announcement(1, until_ms);
+            candidates[7].record_announcement(announcement(1, until_ms, 0));
         }
     };
     assert_eq!(select_on_all_nodes(cold(NOW_MS + 1))[7], 0, "the others have free slots");
@@ -186,7 +190,7 @@
             known.record_load(full, NOW_MS - 10);
         }
         candidates[7].record_load(LoadReport { busy: 1, limit: 4 }, NOW_MS - 10);
-        candidates[7].record_announcement(1, NOW_MS + 1_000);
+        candidates[7].record_announcement(announcement(1, NOW_MS + 1_000, 0));
     });
     assert!(counts[7] > 0, "the cold target gets calls when the others are full");
 }
@@ -197,6 +201,16 @@
     let candidates = [candidate("1", "a"), candidate("2", "b")];
     candidates[0].record_unknown(NOW_MS);
     assert_eq!(select_often(&candidates, &[], NOW_MS + 10_000)[0], 0);
-    candidates[0].record_announcement(7, 0);
+    candidates[0].record_announcement(announcement(7, 0, 0));
     assert_eq!(select_often(&candidates, &[], NOW_MS + 10_000)[1], 0, "it is announced anew");
 }
+
+/// 110 of 183 targets lost two of five answers for four seconds; each of 281 nodes had to find that out by itself.
+#[test]
+fn target_that_loses_answers_is_avoided_by_all_nodes() {
+    let candidates = [candidate(OWN_NODE, "a"), candidate("1", "a"), candidate("2", "b")];
+    for lossy in &candidates[..2] {
+        lossy.record_announcement(announcement(2, 0, 400));
+    }
+    assert_eq!(select_often(&candidates, &[], NOW_MS), [0, 0, SELECTIONS]);
+}
