--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -14,6 +14,10 @@
     Respond(Duration),
     /// Responds with success, but with the id of another call.
     WrongCallId,
+    /// Responds with success, and sends a second copy of the response on the same connection after a delay.
+    LateCopy(Duration),
+    /// Sends a second copy of the previous response on the connection when the next request arrives, then responds to it.
+    StaleCopy,
     /// Responds with success, but without the seal header.
     NoSeal,
     /// Responds with 503 and the header that says that the request has not run.
@@ -86,6 +90,7 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
+        let mut previous_id: Option<String> = None;
         while let Some(head) = read_head(&mut stream) {
             let index = {
                 let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
@@ -102,6 +107,28 @@
                 TargetBehavior::WrongCallId => {
                     respond(&mut stream, "200 OK", "x-call: other\r\nx-seal: s\r\n")
                 }
+                TargetBehavior::LateCopy(delay) => {
+                    let headers = format!("x-call: {id}\r\nx-seal: s\r\n");
+                    if let Ok(mut copy) = stream.try_clone() {
+                        let headers = headers.clone();
+                        std::thread::spawn(move || {
+                            std::thread::sleep(delay);
+                            respond(&mut copy, "200 OK", &headers)
+                        });
+                    }
+                    respond(&mut stream, "200 OK", &headers)
+                }
+                TargetBehavior::StaleCopy => {
+                    let copied = match previous_id.replace(id.to_owned()) {
+                        Some(previous) => {
+                            let headers = format!("x-call: {previous}\r\nx-seal: s\r\n");
+                            respond(&mut stream, "200 OK", &headers)
+                        }
+                        None => Ok(()),
+                    };
+                    let headers = format!("x-call: {id}\r\nx-seal: s\r\n");
+                    copied.and_then(|()| respond(&mut stream, "200 OK", &headers))
+                }
                 TargetBehavior::NoSeal => {
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\n"))
                 }
