--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -24,11 +24,20 @@
     Shed,
     /// Closes the connection without a response.
     Disconnect,
+    /// Sends these bytes, then `filler` the given number of times, and closes the connection.
+    CutOff {
+        /// Bytes before the filler; `ID` stands for the id of the call.
+        start: &'static str,
+        /// Bytes that are repeated.
+        filler: &'static str,
+        /// Number of repetitions.
+        count: usize,
+    },
     /// Never responds; waits until the peer closes the connection.
     Hang,
     /// Sends these bytes, then `filler` again and again until the peer closes the connection.
     Endless {
-        /// Bytes before the filler.
+        /// Bytes before the filler; `ID` stands for the id of the call.
         start: &'static str,
         /// Bytes that are repeated.
         filler: &'static str,
@@ -137,6 +146,11 @@
                     respond(&mut stream, "503 Service Unavailable", &headers)
                 }
                 TargetBehavior::Disconnect => return,
+                TargetBehavior::CutOff { start, filler, count } => {
+                    let text = start.replace("ID", id) + &filler.repeat(count);
+                    let _written = stream.write_all(text.as_bytes());
+                    return;
+                }
                 TargetBehavior::Hang => {
                     // The read returns when the peer closes the connection.
                     let _closed = stream.read(&mut [0]);
