--- a/crates/cli/tests/endless_answers.rs
+++ b/crates/cli/tests/endless_answers.rs
@@ -1,6 +1,6 @@
 //! Targets in trouble that send bytes without end, in a head or a body, until their caller closes the connection.
 
-use std::sync::{Mutex, PoisonError, mpsc};
+use std::sync::mpsc;
 use std::time::Duration;
 
 use kingcuplift_testing::{PlaintextSite, TargetBehavior, request, start_desk_site};
@@ -12,8 +12,6 @@
 const SLACK: Duration = Duration::from_millis(500);
 /// Memory that a node may use, in KiB; the smallest VMs have 88 MB.
 const MAX_MEMORY: u64 = 64 * 1_024;
-/// Held by a test whose target sends at full speed: several of them at once would use up the processors.
-static FLOOD: Mutex<()> = Mutex::new(());
 /// Head of a successful response whose body ends with the connection.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-call: ID\r\nx-seal: s\r\n\r\n";
 /// Head of a successful response with a body in chunks.
@@ -60,7 +58,6 @@
     #[values(0, 20)] pause_ms: u64,
 ) {
     let pause = Duration::from_millis(pause_ms);
-    let _flood = pause.is_zero().then(|| FLOOD.lock().unwrap_or_else(PoisonError::into_inner));
     let (site, target) = start_desk_site(TargetBehavior::Endless { start, filler, pause });
     check_call(&site);
     let closed_at =
