--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -25,6 +25,9 @@
 
 /// Usual time that a process takes to restart; refused callers are asked to retry after it.
 const RESTART_TIME: Duration = Duration::from_millis(600);
+/// Refusal of a call that the node can't complete before it stops.
+const DRAINING: CallError =
+    CallError { code: ResultCode::Draining, retry_after: Some(RESTART_TIME) };
 /// Rate limit of log lines on calls that are refused, fail or are retried.
 const MAX_CALL_LINES_PER_S: u32 = 10;
 /// Rate limit of log lines on calls that the local targets' admission refuses.
@@ -158,7 +161,7 @@
         self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Begins a shutdown: the node is reported as not ready, and serves calls with a deadline up to `until`.
+    /// Begins a shutdown: the node is reported as not ready, and serves calls that can end by `until`.
     pub(crate) fn begin_shutdown(&self, until: Instant) {
         self.stop_at.store(Some(Arc::new(until)));
         self.is_draining.store(true, Ordering::Release);
@@ -175,16 +178,13 @@
     ) -> Result<Duration, CallError> {
         let Some(until) = self.stop_at.load_full() else { return Ok(time) };
         let left = until.saturating_duration_since(started_at);
-        time_before_stop(time, objective, left)
-            .ok_or(CallError { code: ResultCode::Draining, retry_after: Some(RESTART_TIME) })
+        time_before_stop(time, objective, left).ok_or(DRAINING)
     }
 
-    /// Refuses a call whose deadline lies after the end of the process.
+    /// Refuses another node's call whose deadline lies after the end of the process; it can go to another target.
     pub(crate) fn check_shutdown(&self, deadline: Instant) -> Result<(), CallError> {
         match self.stop_at.load().as_deref() {
-            Some(until) if deadline > *until => {
-                Err(CallError { code: ResultCode::Draining, retry_after: Some(RESTART_TIME) })
-            }
+            Some(until) if deadline > *until => Err(DRAINING),
             _ => Ok(()),
         }
     }
