Log the calls in flight when a target ends, and name the request of each retry

Callers saw the same request end one target after the other. The logs could not show it: a retry names the id of one call, which is new each time the caller sends the request, and no line says what a target was running when it ended.

A call's fingerprint is a hash of its method, path, caller and body. Retries and failures name it ("request"). The node beside a target keeps the calls that were lost; if the target then accepts no connection, or a new one reports in its place, event 407 (TargetCrashed) names their fingerprints. So that this is not left to the next call, a lost answer is followed by a look at the pool: an idle connection that is still open shows that the target runs, else a new one is opened and kept.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -141,6 +141,8 @@
     ReportRefused = 405, Warn;
     /// The fraction of answers that a target loses or spoils has changed by a level; calls prefer other targets.
     TargetLosses = 406, Warn;
+    /// A target ended while it ran calls; one of them may have caused it.
+    TargetCrashed = 407, Warn;
     /// A call was refused and not executed; lines beyond a rate limit are only counted.
     CallRefused = 501, Warn;
     /// A call may have been executed but got no response from its target; lines beyond a rate limit are only counted.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod event;
 mod fault;
+mod fingerprint;
 mod id;
 pub mod logger;
 mod size;
@@ -14,6 +15,7 @@
 pub use digest::Digest;
 pub use event::{Event, Severity};
 pub use fault::{Fault, Faults, check_fields};
+pub use fingerprint::CallFingerprint;
 pub use id::{
     Incarnation, MemberId, NodeName, OperationId, ParseIdError, RouteName, ServiceName,
     TargetVersion, Version, ZoneName,
--- a/crates/daemon/src/node/body.rs
+++ b/crates/daemon/src/node/body.rs
@@ -64,6 +64,15 @@
         Self::Buffered((!bytes.is_empty()).then_some(bytes))
     }
 
+    /// Returns the bytes that are already read.
+    pub(crate) fn buffered_part(&self) -> &[u8] {
+        match self {
+            Self::Buffered(bytes) | Self::Streaming { prefix: bytes, .. } => {
+                bytes.as_deref().unwrap_or_default()
+            }
+        }
+    }
+
     /// Returns a copy for a retry, or `None` when the body is streamed.
     pub(crate) fn try_clone(&self) -> Option<Self> {
         match self {
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use kingcuplift_config::Semantics;
-use kingcuplift_core::{Event, ResultCode, RunState};
+use kingcuplift_core::{CallFingerprint, Event, ResultCode, RunState};
 use kingcuplift_traffic::{
     AttemptResults, CallEstimate, Candidate, RetryReason, RetryRule, RouteMatch, RoutingView,
     SelectionContext, ServiceView, ServingVersions, TargetKey, retry_rule, select_target,
@@ -208,6 +208,7 @@
 /// Details of a call for log lines.
 struct CallLogContext {
     id: Option<HeaderValue>,
+    fingerprint: CallFingerprint,
     route: SmolStr,
     started_at: Instant,
 }
@@ -242,6 +243,7 @@
         let version = self.draw_version().cloned();
         let context = CallLogContext {
             id: call.id.clone(),
+            fingerprint: call.fingerprint(&self.worker.shared.headers),
             route: call.route.clone(),
             started_at: Instant::now(),
         };
@@ -293,6 +295,7 @@
             &shared.call_log_limiter,
             &[
                 ("call", &context.id()),
+                ("request", &context.fingerprint),
                 ("route", &context.route),
                 ("service", &self.service_name),
                 ("code", &error.code),
@@ -324,6 +327,7 @@
             &shared.call_log_limiter,
             &[
                 ("call", &context.id()),
+                ("request", &context.fingerprint),
                 ("route", &context.route),
                 ("target", target),
                 ("outcome", &outcome),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -290,7 +290,10 @@
             actor.expire_leases();
             actor.announce_losses();
         });
-        ctx.run_interval(EVIDENCE_INTERVAL, |actor, _| actor.report_evidence());
+        ctx.run_interval(EVIDENCE_INTERVAL, |actor, _| {
+            actor.report_evidence();
+            actor.report_crashes();
+        });
         // Setting the recipient fails only for a second actor on the same state, which is a bug.
         drop(self.shared.control.set(ctx.address().recipient()));
         self.actor_address = Some(ctx.address());
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -143,6 +143,20 @@
         }
     }
 
+    /// Logs the local targets that ended while they ran calls.
+    pub(super) fn report_crashes(&mut self) {
+        let crashes = self.shared.crash_log().poll(wall_us(), monotonic_ms());
+        for crash in &crashes {
+            let suspects: Vec<_> = crash.suspects.iter().map(ToString::to_string).collect();
+            Event::TargetCrashed.emit(&[
+                ("target", &crash.key),
+                ("crash", &crash.id),
+                ("calls", &suspects.len()),
+                ("requests", &suspects.join(",")),
+            ]);
+        }
+    }
+
     fn configured_warmup(&self, key: &TargetKey) -> Duration {
         service_spec(self.config.document(), &key.service)
             .map_or(Duration::ZERO, |spec| spec.warmup)
@@ -245,6 +259,7 @@
             .map(|(other, _)| other.clone())
             .collect();
         for other in earlier {
+            self.shared.crash_log().record_down(&other, monotonic_ms());
             self.withdraw(&[other], TargetState::Gone);
         }
     }
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -5,12 +5,12 @@
 
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, Request, StatusCode};
-use kingcuplift_core::{ByteSize, Rank, ResultCode};
+use kingcuplift_core::{ByteSize, CallFingerprint, Rank, ResultCode};
 use kingcuplift_traffic::LoadReport;
 use smol_str::SmolStr;
 
 use crate::node::body::Body;
-use crate::node::headers::strip_hop_by_hop;
+use crate::node::headers::{self, HeaderNames, strip_hop_by_hop};
 use crate::node::pool::Pool;
 
 /// Maximum size of a response body.
@@ -42,6 +42,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns what all calls have in common that repeat the same request; of a streamed body, only its start counts.
+    pub(crate) fn fingerprint(&self, names: &HeaderNames) -> CallFingerprint {
+        let caller = headers::text(&self.headers, names.caller.as_ref()).unwrap_or_default();
+        let parts = [self.method.as_str(), &self.path, caller].map(str::as_bytes);
+        CallFingerprint::of(&[parts[0], parts[1], parts[2], self.body.buffered_part()])
+    }
+
     /// Returns a copy for a retry, or `None` when the body is streamed.
     pub(crate) fn try_clone(&self) -> Option<Self> {
         Some(Self {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use kingcuplift_core::{ByteSize, Event, ResultCode};
+use kingcuplift_core::{ByteSize, Event, ResultCode, RunState};
 use kingcuplift_traffic::{CallOutcome, LoadReport, TargetKey};
 use smol_str::SmolStr;
 
@@ -25,6 +26,8 @@
 
 /// Maximum body size of a call between nodes; the node that a caller is connected to applies the configured limit.
 const MAX_CALL_BODY: ByteSize = ByteSize::mib(1_024);
+/// Time after a lost answer until the target's connections are checked; those that ended with it are closed by then.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
 /// Statuses by which a target signals overload.
 const OVERLOAD_STATUSES: [StatusCode; 2] =
     [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
@@ -102,7 +105,7 @@
 async fn admit(
     worker: &Worker,
     key: &TargetKey,
-    local: &LocalTarget,
+    local: &Arc<LocalTarget>,
     call: Call,
 ) -> AttemptOutcome {
     if let Err(error) = worker.shared.check_shutdown(call.deadline) {
@@ -118,6 +121,8 @@
         }
     };
     let route = call.route.clone();
+    let fingerprint = call.fingerprint(&worker.shared.headers);
+    let started_ms = monotonic_ms();
     let result = send_to_target(worker, local, call).await;
     let elapsed = permit.elapsed();
     metrics::TARGET_TIME.observe(elapsed.as_secs_f64());
@@ -126,9 +131,14 @@
     if let Some(lost) = answer_lost(&result) {
         local.losses().record(lost, monotonic_ms());
     }
-    if matches!(result, Err(ResultCode::TargetRefused)) {
-        worker.pool.close_idle(local.address);
-        TargetDown { key: key.clone(), instance: local.instance.clone() }.send(&worker.shared);
+    match &result {
+        Err(ResultCode::TargetRefused) => report_down(worker, key, local),
+        Err(code) if code.run() == RunState::Unknown => {
+            let now = monotonic_ms();
+            worker.shared.crash_log().record_loss(key, fingerprint, started_ms, now);
+            check_connection(worker, key, local);
+        }
+        _ => {}
     }
     let took = result.is_ok().then_some(elapsed);
     AttemptOutcome {
@@ -138,6 +148,28 @@
     }
 }
 
+/// Reports that a target does not accept connections.
+fn report_down(worker: &Worker, key: &TargetKey, local: &LocalTarget) {
+    worker.pool.close_idle(local.address);
+    worker.shared.crash_log().record_down(key, monotonic_ms());
+    TargetDown { key: key.clone(), instance: local.instance.clone() }.send(&worker.shared);
+}
+
+/// Checks in the background whether a target that has lost an answer still accepts connections.
+fn check_connection(worker: &Worker, key: &TargetKey, local: &Arc<LocalTarget>) {
+    if local.is_checked.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let (worker, key, local) = (worker.clone(), key.clone(), Arc::clone(local));
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(CHECK_DELAY).await;
+        if !worker.pool.check(local.address).await {
+            report_down(&worker, &key, &local);
+        }
+        local.is_checked.store(false, Ordering::Release);
+    });
+}
+
 /// Logs that admission control refused a call.
 fn log_refusal(
     shared: &NodeShared,
--- a/crates/daemon/src/node/pool.rs
+++ b/crates/daemon/src/node/pool.rs
@@ -97,6 +97,24 @@
         Some(PooledConnection { address, sender: entry.sender, idle_timeout: IDLE_TIMEOUT })
     }
 
+    /// Returns whether an idle connection to an address is open, or a new one can be opened; the pool keeps that one.
+    pub(crate) async fn check(&self, address: SocketAddr) -> bool {
+        if let Some(connection) = self.take(address) {
+            self.put_back(connection);
+            return true;
+        }
+        match connect(address).await {
+            Ok(connection) => {
+                self.put_back(connection);
+                true
+            }
+            Err(error) => {
+                log::debug!("can't connect to {address}: {error}");
+                false
+            }
+        }
+    }
+
     /// Closes all idle connections to an address.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
         self.0.borrow_mut().idle.remove(&address);
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -10,8 +10,8 @@
 use kingcuplift_core::logger::LogRateLimiter;
 use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, Version, ZoneName};
 use kingcuplift_traffic::{
-    LossMeter, RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey, WarmupTolerance,
-    time_before_stop,
+    CrashLog, LossMeter, RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey,
+    WarmupTolerance, time_before_stop,
 };
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -41,6 +41,8 @@
     pub(crate) instance: SmolStr,
     pub(crate) admission: Arc<AdmissionController>,
     losses: Mutex<LossMeter>,
+    /// Whether a task checks if the target still accepts connections.
+    pub(crate) is_checked: AtomicBool,
 }
 
 impl LocalTarget {
@@ -49,7 +51,8 @@
         instance: SmolStr,
         admission: Arc<AdmissionController>,
     ) -> Self {
-        Self { address, instance, admission, losses: Mutex::default() }
+        let is_checked = AtomicBool::new(false);
+        Self { address, instance, admission, losses: Mutex::default(), is_checked }
     }
 
     /// Returns the meter of lost answers.
@@ -80,6 +83,7 @@
     /// Calls that cold targets bear beyond the rate that their service states.
     pub(crate) warmup_tolerance: WarmupTolerance,
     evidence: Mutex<EvidenceTable>,
+    crash_log: Mutex<CrashLog>,
     /// Receiver of reports on local targets that refuse connections.
     pub(crate) control: OnceLock<Recipient<TargetDown>>,
     /// Number of nodes with a target; at least 1.
@@ -110,6 +114,7 @@
             retry_budget: Mutex::new(RetryBudget::new(RetryLimits::default())),
             warmup_tolerance: WarmupTolerance::default(),
             evidence: Mutex::new(EvidenceTable::default()),
+            crash_log: Mutex::default(),
             control: OnceLock::new(),
             node_count: AtomicUsize::new(1),
             is_draining: AtomicBool::new(false),
@@ -161,6 +166,11 @@
         self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the record of local targets that ended while they ran calls.
+    pub(crate) fn crash_log(&self) -> MutexGuard<'_, CrashLog> {
+        self.crash_log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins a shutdown: the node is reported as not ready, and serves calls that can end by `until`.
     pub(crate) fn begin_shutdown(&self, until: Instant) {
         self.stop_at.store(Some(Arc::new(until)));
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod cold_rush;
 mod concurrency;
+mod crash_log;
 mod grey_target;
 mod handshakes;
 mod lease;
@@ -27,6 +28,7 @@
 };
 pub use cold_rush::{WarmupPace, WarmupTolerance};
 pub use concurrency::{CallOutcome, ConcurrencyLimit};
+pub use crash_log::{Crash, CrashLog};
 pub use grey_target::LossMeter;
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
