--- /dev/null
+++ b/crates/cli/tests/crashing_requests.rs
@@ -0,0 +1,112 @@
+//! Requests that end each target that begins to run them, and that callers send again and again.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use kingcuplift_testing::{
+    PlaintextSite, ScriptedTarget, TargetBehavior, desk_configuration, put_revision, report_desk,
+    request,
+};
+use rstest::rstest;
+use serde_json::json;
+
+/// Targets of the site, each with its node.
+const TARGETS: usize = 8;
+/// Number of targets that a request may end before it must be known.
+const KNOWN_AFTER: usize = 3;
+/// Time within which all nodes must know the request.
+const SPREAD_TIME: Duration = Duration::from_secs(3);
+/// Times that the request may be tried again later.
+const LATER_TRIES: usize = 3;
+/// Time for which callers send the request.
+const LOAD_TIME: Duration = Duration::from_secs(9);
+/// Time for which a target is down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
+fn start_site() -> (PlaintextSite, Vec<ScriptedTarget>) {
+    let delay = Duration::from_millis(20);
+    let behavior = TargetBehavior::CrashOn { text: "/crash ", delay };
+    let targets: Vec<_> = (0..TARGETS).map(|_| ScriptedTarget::start(behavior.clone())).collect();
+    let addresses: Vec<_> = targets.iter().map(ScriptedTarget::address).collect();
+    let site = PlaintextSite::start(3, &addresses);
+    assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
+    for (i, target) in targets.iter().enumerate() {
+        assert_eq!(report_desk(&site, &node(i), target, &json!({})).status, 200);
+        site.wait("a ready node", |site| {
+            let ready = request(&site.addresses(&node(i)).ready, "GET", "/readyz", "", "");
+            (ready.status == 200).then_some(())
+        });
+    }
+    (site, targets)
+}
+
+fn node(index: usize) -> String {
+    format!("node-{}", index % TARGETS + 1)
+}
+
+/// Sends a call and returns its status.
+fn call(site: &PlaintextSite, from: usize, method: &str, path: &str, id: &str, body: &str) -> u16 {
+    let headers = format!("host: a.example\r\nx-call: {id}\r\nx-left: 1500\r\n");
+    request(&site.addresses(&node(from)).callers, method, path, &headers, body).status
+}
+
+/// Restarts each target some time after it has ended, as a new life.
+fn restart_targets(site: &PlaintextSite, targets: &[ScriptedTarget], is_over: &AtomicBool) {
+    let mut born = 1_000;
+    while !is_over.load(Ordering::Relaxed) {
+        for (i, target) in targets.iter().enumerate() {
+            let crashed_at = target.crashes().last().copied();
+            if target.is_down() && crashed_at.is_some_and(|at| at.elapsed() >= DOWN_TIME) {
+                born += 1;
+                target.restart();
+                report_desk(site, &node(i), target, &json!({ "born": born }));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Without memory, a request that ends its targets is tried at two of them for each time that it is sent, for good.
+#[rstest]
+#[case::read("GET", "/read/crash", "")]
+#[case::booking("POST", "/book/crash", "hall=7")]
+fn crashing_request_is_quarantined(#[case] method: &str, #[case] path: &str, #[case] body: &str) {
+    let (site, targets) = start_site();
+    let is_over = AtomicBool::new(false);
+    let (sent, answered) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let started_at = Instant::now();
+    std::thread::scope(|scope| {
+        scope.spawn(|| restart_targets(&site, &targets, &is_over));
+        for client in 0..4 {
+            let (sent, answered, site, is_over) = (&sent, &answered, &site, &is_over);
+            scope.spawn(move || {
+                let mut number = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    let (id, path) = (format!("o-{client}-{number}"), format!("/read/{number}"));
+                    let status = call(site, client + number, "GET", &path, &id, "");
+                    if started_at.elapsed() > LOAD_TIME / 2 {
+                        sent.fetch_add(1, Ordering::Relaxed);
+                        answered.fetch_add(usize::from(status == 200), Ordering::Relaxed);
+                    }
+                    number += 1;
+                }
+            });
+        }
+        let mut number = 0;
+        while started_at.elapsed() < LOAD_TIME {
+            call(&site, number, method, path, &format!("crash-{number}"), body);
+            std::thread::sleep(Duration::from_millis(100));
+            number += 1;
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let mut crashes: Vec<Instant> = targets.iter().flat_map(ScriptedTarget::crashes).collect();
+    crashes.sort();
+    let known_at = crashes[KNOWN_AFTER - 1] + SPREAD_TIME;
+    let later = crashes.iter().filter(|at| **at > known_at).count();
+    let total = crashes.len();
+    assert!(later <= LATER_TRIES, "{later} targets ended later, {total} in all");
+    let (sent, answered) = (sent.load(Ordering::Relaxed), answered.load(Ordering::Relaxed));
+    assert!(answered * 100 >= sent * 99, "{answered} of {sent} other calls were answered");
+}
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -1,8 +1,8 @@
 //! A target whose responses are set by the test.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::addresses::AddressPool;
@@ -33,6 +33,13 @@
         /// Number of repetitions.
         count: usize,
     },
+    /// Responds with success after a delay, but ends when a request whose head contains `text` arrives.
+    CrashOn {
+        /// Text in the head of the request, in lower case.
+        text: &'static str,
+        /// Time before each response.
+        delay: Duration,
+    },
     /// Never responds; waits until the peer closes the connection.
     Hang,
     /// Sends these bytes, then `filler` again and again until the peer closes the connection.
@@ -58,12 +65,21 @@
     pub closed_at: Option<Instant>,
 }
 
+/// Connections of a target's current life, and the ends of its lives.
+#[derive(Debug, Default)]
+struct Lives {
+    is_down: bool,
+    streams: Vec<TcpStream>,
+    crashes: Vec<Instant>,
+}
+
 /// An HTTP/1.1 target whose responses are set by the test.
 #[derive(Debug, Clone)]
 pub struct ScriptedTarget {
     address: SocketAddr,
     behavior: Arc<Mutex<TargetBehavior>>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    lives: Arc<Mutex<Lives>>,
 }
 
 impl ScriptedTarget {
@@ -71,16 +87,68 @@
     pub fn start(behavior: TargetBehavior) -> Self {
         let listener = TcpListener::bind(AddressPool::new().next()).expect("an address is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let target =
-            Self { address, behavior: Arc::new(Mutex::new(behavior)), requests: Arc::default() };
-        let server = target.clone();
+        let target = Self {
+            address,
+            behavior: Arc::new(Mutex::new(behavior)),
+            requests: Arc::default(),
+            lives: Arc::default(),
+        };
+        target.accept(listener);
+        target
+    }
+
+    /// Serves connections until the target ends.
+    fn accept(&self, listener: TcpListener) {
+        let server = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let mut lives = server.lives();
+                if lives.is_down {
+                    return;
+                }
+                lives.streams.extend(stream.try_clone());
+                drop(lives);
                 let server = server.clone();
                 std::thread::spawn(move || server.serve(stream));
             }
         });
-        target
+    }
+
+    /// Closes all connections and refuses new ones until [`Self::restart`].
+    fn crash(&self) {
+        let mut lives = self.lives();
+        if std::mem::replace(&mut lives.is_down, true) {
+            return;
+        }
+        lives.crashes.push(Instant::now());
+        for stream in lives.streams.drain(..) {
+            // The peer may have closed the connection already.
+            let _shutdown = stream.shutdown(Shutdown::Both);
+        }
+        drop(lives);
+        // Wakes the thread that accepts connections, which then closes the listener.
+        let _woken = TcpStream::connect(self.address);
+    }
+
+    /// Accepts connections again after the target has ended.
+    pub fn restart(&self) {
+        let listener = TcpListener::bind(self.address).expect("the address is still free");
+        self.lives().is_down = false;
+        self.accept(listener);
+    }
+
+    /// Returns whether the target has ended and not been restarted.
+    pub fn is_down(&self) -> bool {
+        self.lives().is_down
+    }
+
+    /// Returns when the target ended, for each of its lives that are over.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.lives().crashes.clone()
+    }
+
+    fn lives(&self) -> MutexGuard<'_, Lives> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the address that the target listens on.
@@ -113,6 +181,13 @@
                     std::thread::sleep(delay);
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
                 }
+                TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
+                    return self.crash();
+                }
+                TargetBehavior::CrashOn { delay, .. } => {
+                    std::thread::sleep(delay);
+                    respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
+                }
                 TargetBehavior::WrongCallId => {
                     respond(&mut stream, "200 OK", "x-call: other\r\nx-seal: s\r\n")
                 }
