--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -21,6 +21,8 @@
 const LATER_TRIES: usize = 3;
 /// Time for which callers send the request.
 const LOAD_TIME: Duration = Duration::from_secs(9);
+/// Interval between the reports of a target.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a target is down.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
@@ -51,16 +53,25 @@
     request(&site.addresses(&node(from)).callers, method, path, &headers, body).status
 }
 
-/// Restarts each target some time after it has ended, as a new life.
-fn restart_targets(site: &PlaintextSite, targets: &[ScriptedTarget], is_over: &AtomicBool) {
-    let mut born = 1_000;
+/// Reports all targets, and restarts each some time after it has ended, as a new life.
+fn run_targets(site: &PlaintextSite, targets: &[ScriptedTarget], is_over: &AtomicBool) {
+    let mut born = [1_000; TARGETS];
+    let (mut sequence, mut reported_at) = (1, Instant::now());
     while !is_over.load(Ordering::Relaxed) {
+        let is_due = reported_at.elapsed() >= REPORT_INTERVAL;
+        if is_due {
+            (sequence, reported_at) = (sequence + 1, Instant::now());
+        }
         for (i, target) in targets.iter().enumerate() {
             let crashed_at = target.crashes().last().copied();
-            if target.is_down() && crashed_at.is_some_and(|at| at.elapsed() >= DOWN_TIME) {
-                born += 1;
+            let is_back = target.is_down() && crashed_at.is_some_and(|at| at.elapsed() > DOWN_TIME);
+            if is_back {
+                born[i] += 1;
                 target.restart();
-                report_desk(site, &node(i), target, &json!({ "born": born }));
+            }
+            if is_back || (is_due && !target.is_down()) {
+                let report = json!({ "born": born[i], "sequence": sequence });
+                report_desk(site, &node(i), target, &report);
             }
         }
         std::thread::sleep(Duration::from_millis(10));
@@ -77,7 +88,7 @@
     let (sent, answered) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let started_at = Instant::now();
     std::thread::scope(|scope| {
-        scope.spawn(|| restart_targets(&site, &targets, &is_over));
+        scope.spawn(|| run_targets(&site, &targets, &is_over));
         for client in 0..4 {
             let (sent, answered, site, is_over) = (&sent, &answered, &site, &is_over);
             scope.spawn(move || {
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -154,6 +154,8 @@
     Overloaded = 3020, 503, NotRun;
     /// The node beside the target does not know this instance of it.
     TargetUnknown = 3021, 503, NotRun;
+    /// Targets ended while they ran this request, so it is not sent to others.
+    RequestQuarantined = 3022, 503, NotRun;
     /// No leader of the source is known at present.
     NoLeader = 4001, 503, NotRun;
     /// The member lost leadership before the submission was committed.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -151,6 +151,8 @@
     CallRepeated = 503, Info;
     /// The node beside a target refused a call; lines beyond a rate limit are only counted.
     CallNotAdmitted = 504, Info;
+    /// A request is refused from now on, because targets ended while they ran it.
+    RequestQuarantined = 505, Warn;
 }
 
 impl Event {
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -13,7 +13,8 @@
 use kingcuplift_core::{CallFingerprint, Event, ResultCode, RunState};
 use kingcuplift_traffic::{
     AttemptResults, CallEstimate, Candidate, RetryReason, RetryRule, RouteMatch, RoutingView,
-    SelectionContext, ServiceView, ServingVersions, TargetKey, retry_rule, select_target,
+    SelectionContext, ServiceView, ServingVersions, Suspicion, TargetKey, retry_rule,
+    select_target,
 };
 use smol_str::SmolStr;
 
@@ -182,9 +183,11 @@
         }
     }
     let id = names.call.as_ref().and_then(|name| headers.get(name).cloned());
+    let path = path_of(&parts.uri);
     Call {
+        fingerprint: forward::fingerprint(&parts.method, &path, &headers, &body, names),
         method: parts.method,
-        path: path_of(&parts.uri),
+        path,
         headers,
         body,
         deadline: started_at + time,
@@ -243,7 +246,7 @@
         let version = self.draw_version().cloned();
         let context = CallLogContext {
             id: call.id.clone(),
-            fingerprint: call.fingerprint(&self.worker.shared.headers),
+            fingerprint: call.fingerprint,
             route: call.route.clone(),
             started_at: Instant::now(),
         };
@@ -263,12 +266,19 @@
             let (now, candidates) = (monotonic_ms(), &self.service.candidates);
             let chosen = select_target(candidates, selection, now, &mut rand::rng());
             let Some(candidate) = chosen else { break };
+            if let Err(error) = self.worker.shared.check_quarantine(call.fingerprint) {
+                results.add(Err(error), |error| error.code.run());
+                break;
+            }
             self.tried.push(candidate.key.clone());
             let copy = call.try_clone();
             let route = call.route.clone();
             let outcome = attempt(self.worker, candidate, call).await;
             self.record_attempt(candidate, &route, &outcome);
-            let disposition = self.decide(&outcome.result);
+            if outcome.result.is_ok() {
+                self.worker.shared.quarantine().record_answer(context.fingerprint);
+            }
+            let disposition = self.decide(&outcome.result, context.fingerprint);
             if disposition == Disposition::Retry {
                 self.log_retry(&context, &candidate.key, &outcome.result);
                 next = copy.filter(|copy| !copy.time_left().is_zero());
@@ -364,7 +374,11 @@
     }
 
     /// Decides whether the call may be retried at another target.
-    fn decide(&mut self, result: &Result<TargetResponse, CallError>) -> Disposition {
+    fn decide(
+        &mut self,
+        result: &Result<TargetResponse, CallError>,
+        request: CallFingerprint,
+    ) -> Disposition {
         let code = match result {
             Ok(response) if response.status.is_server_error() && self.is_idempotent => {
                 return self.retry_within_budget(RetryReason::Failed);
@@ -372,6 +386,10 @@
             Ok(_) => return Disposition::Final,
             Err(error) => error.code,
         };
+        let suspicion = self.worker.shared.quarantine().suspicion(request, monotonic_ms());
+        if code == ResultCode::AnswerLost && suspicion != Suspicion::None {
+            return Disposition::Final;
+        }
         match retry_rule(code, self.is_idempotent) {
             RetryRule::Never => Disposition::Final,
             RetryRule::Free => self.retry_after_refusal(),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -11,7 +11,7 @@
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler};
 use kingcuplift_config::{ApplyOutcome, Subscription, VersionedDocument, decode_update};
-use kingcuplift_core::{Event, ServiceName, Version};
+use kingcuplift_core::{CallFingerprint, Event, ServiceName, Version};
 use kingcuplift_keys::Role;
 use kingcuplift_schema::control::{
     Directory, FreshnessReply, FreshnessRequest, Hello, Target, TargetState, TargetUpdate,
@@ -221,11 +221,26 @@
 
     fn merge_target(&mut self, target: Target, now_ms: u64) {
         let service = SmolStr::new(&target.service);
+        self.record_crashes(&target, now_ms);
         if self.table.merge(target, now_ms) == MergeResult::Changed {
             self.changed_services.insert(service);
         }
     }
 
+    /// Records the requests that a target ran when it ended.
+    fn record_crashes(&self, target: &Target, now_ms: u64) {
+        let node = SmolStr::new(&target.node);
+        for crash in &target.crashes {
+            let requests = crash.requests.iter().map(|number| CallFingerprint::new(*number));
+            let requests: Vec<_> = requests.collect();
+            let mut quarantine = self.shared.quarantine();
+            for request in quarantine.record_crash(&node, crash.id, &requests, now_ms) {
+                let key = TargetKey::of(target);
+                Event::RequestQuarantined.emit(&[("request", &request), ("target", &key)]);
+            }
+        }
+    }
+
     fn handle_freshness_reply(&mut self, reply: FreshnessReply) {
         if self.freshness != Freshness::Confirmed {
             self.freshness = Freshness::Required(Version::new(reply.head));
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -6,7 +6,7 @@
 
 use kingcuplift_config::{Document, Kind, Resource, ResourceKey, ServiceSpec};
 use kingcuplift_core::{Event, PerSecond, ServiceName};
-use kingcuplift_schema::control::{Target, TargetState, TargetUpdate, upward};
+use kingcuplift_schema::control::{Crash, Target, TargetState, TargetUpdate, upward};
 use kingcuplift_traffic::{AdmissionLimits, Lease, TargetKey, WarmupPace, is_zone_out};
 use smol_str::SmolStr;
 
@@ -154,9 +154,20 @@
                 ("calls", &suspects.len()),
                 ("requests", &suspects.join(",")),
             ]);
+            self.republish_target(&crash.key);
         }
     }
 
+    /// Returns the recent crashes of a local target.
+    fn recent_crashes(&self, key: &TargetKey) -> Vec<Crash> {
+        let log = self.shared.crash_log();
+        let crashes = log.crashes().filter(|crash| crash.key == *key).map(|crash| Crash {
+            id: crash.id,
+            requests: crash.suspects.iter().map(|request| request.get()).collect(),
+        });
+        crashes.collect()
+    }
+
     fn configured_warmup(&self, key: &TargetKey) -> Duration {
         service_spec(self.config.document(), &key.service)
             .map_or(Duration::ZERO, |spec| spec.warmup)
@@ -395,6 +406,7 @@
             born: self.instances.get(key).map_or(0, |known| known.report.start_time_ms),
             cold_ms: self.remaining_warmup(key).as_millis() as u32,
             lost_permille: self.announced_losses(key),
+            crashes: self.recent_crashes(key),
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -35,6 +35,21 @@
     pub(crate) is_patient: bool,
     /// Id that the target echoes in its response.
     pub(crate) id: Option<HeaderValue>,
+    /// What the call has in common with all others that repeat the same request.
+    pub(crate) fingerprint: CallFingerprint,
+}
+
+/// Returns the fingerprint of a request; of a streamed body, only the part that is already read counts.
+pub(crate) fn fingerprint(
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: &Body,
+    names: &HeaderNames,
+) -> CallFingerprint {
+    let caller = headers::text(headers, names.caller.as_ref()).unwrap_or_default();
+    let [method, path, caller] = [method.as_str(), path, caller].map(str::as_bytes);
+    CallFingerprint::of(&[method, path, caller, body.buffered_part()])
 }
 
 impl Call {
@@ -42,13 +57,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns what all calls have in common that repeat the same request; of a streamed body, only its start counts.
-    pub(crate) fn fingerprint(&self, names: &HeaderNames) -> CallFingerprint {
-        let caller = headers::text(&self.headers, names.caller.as_ref()).unwrap_or_default();
-        let parts = [self.method.as_str(), &self.path, caller].map(str::as_bytes);
-        CallFingerprint::of(&[parts[0], parts[1], parts[2], self.body.buffered_part()])
-    }
-
     /// Returns a copy for a retry, or `None` when the body is streamed.
     pub(crate) fn try_clone(&self) -> Option<Self> {
         Some(Self {
@@ -62,6 +70,7 @@
             rank: self.rank,
             is_patient: self.is_patient,
             id: self.id.clone(),
+            fingerprint: self.fingerprint,
         })
     }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -54,6 +54,9 @@
     };
     strip_hop_by_hop(&mut headers);
     let id = worker.shared.headers.call.as_ref().and_then(|name| headers.get(name).cloned());
+    let path = path_of(&parts.uri);
+    let names = &worker.shared.headers;
+    let fingerprint = forward::fingerprint(&parts.method, &path, &headers, &body, names);
     let key = TargetKey {
         service: envelope.service,
         version: envelope.version,
@@ -61,7 +64,7 @@
     };
     let call = Call {
         method: parts.method,
-        path: path_of(&parts.uri),
+        path,
         headers,
         body,
         deadline: started_at + envelope.time_left,
@@ -70,6 +73,7 @@
         rank: envelope.rank,
         is_patient: envelope.is_patient,
         id,
+        fingerprint,
     };
     let outcome = call_local_target(&worker, &key, &envelope.instance, call).await;
     let (load, service_time) = (outcome.load, outcome.service_time);
@@ -108,7 +112,9 @@
     local: &Arc<LocalTarget>,
     call: Call,
 ) -> AttemptOutcome {
-    if let Err(error) = worker.shared.check_shutdown(call.deadline) {
+    let shared = &worker.shared;
+    let checked = shared.check_shutdown(call.deadline);
+    if let Err(error) = checked.and_then(|()| shared.check_quarantine(call.fingerprint)) {
         return error.into();
     }
     let id = call.id.clone();
@@ -120,8 +126,11 @@
             return AttemptOutcome { result: Err(error), load: Some(load), service_time: None };
         }
     };
-    let route = call.route.clone();
-    let fingerprint = call.fingerprint(&worker.shared.headers);
+    // The request may have been quarantined while the call was queued.
+    if let Err(error) = worker.shared.check_quarantine(call.fingerprint) {
+        return error.into();
+    }
+    let (route, fingerprint) = (call.route.clone(), call.fingerprint);
     let started_ms = monotonic_ms();
     let result = send_to_target(worker, local, call).await;
     let elapsed = permit.elapsed();
@@ -132,6 +141,7 @@
         local.losses().record(lost, monotonic_ms());
     }
     match &result {
+        Ok(_) => worker.shared.quarantine().record_answer(fingerprint),
         Err(ResultCode::TargetRefused) => report_down(worker, key, local),
         Err(code) if code.run() == RunState::Unknown => {
             let now = monotonic_ms();
--- a/crates/daemon/src/node/probe.rs
+++ b/crates/daemon/src/node/probe.rs
@@ -5,7 +5,7 @@
 
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
-use kingcuplift_core::Rank;
+use kingcuplift_core::{CallFingerprint, Rank};
 use smol_str::SmolStr;
 
 use crate::node::body::Body;
@@ -36,6 +36,7 @@
         rank: Rank::FIRST,
         is_patient: false,
         id: None,
+        fingerprint: CallFingerprint::of(&[path.as_bytes()]),
     };
     let response = match send(&Pool::default(), address, call, false).await {
         Ok(response) => response,
--- a/crates/daemon/src/node/respond.rs
+++ b/crates/daemon/src/node/respond.rs
@@ -51,6 +51,7 @@
     if code.run() == RunState::NotRun && status == StatusCode::SERVICE_UNAVAILABLE {
         let min_wait = match code {
             ResultCode::NodeNotReady | ResultCode::NoTarget => RETRY_AFTER_NOT_READY,
+            ResultCode::RequestQuarantined => MAX_RETRY_AFTER,
             _ => RETRY_AFTER_OVERLOAD,
         };
         let wait = error.retry_after.unwrap_or(min_wait).clamp(min_wait, MAX_RETRY_AFTER);
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -8,10 +8,12 @@
 use actix::Recipient;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kingcuplift_core::logger::LogRateLimiter;
-use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, Version, ZoneName};
+use kingcuplift_core::{
+    CallFingerprint, Event, NodeName, ResultCode, ServiceName, Version, ZoneName,
+};
 use kingcuplift_traffic::{
-    CrashLog, LossMeter, RetryBudget, RetryLimits, RoutingView, StartupWindow, TargetKey,
-    WarmupTolerance, time_before_stop,
+    CrashLog, LossMeter, Quarantine, RetryBudget, RetryLimits, RoutingView, StartupWindow,
+    Suspicion, TargetKey, WarmupTolerance, time_before_stop,
 };
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -84,6 +86,7 @@
     pub(crate) warmup_tolerance: WarmupTolerance,
     evidence: Mutex<EvidenceTable>,
     crash_log: Mutex<CrashLog>,
+    quarantine: Mutex<Quarantine>,
     /// Receiver of reports on local targets that refuse connections.
     pub(crate) control: OnceLock<Recipient<TargetDown>>,
     /// Number of nodes with a target; at least 1.
@@ -115,6 +118,7 @@
             warmup_tolerance: WarmupTolerance::default(),
             evidence: Mutex::new(EvidenceTable::default()),
             crash_log: Mutex::default(),
+            quarantine: Mutex::default(),
             control: OnceLock::new(),
             node_count: AtomicUsize::new(1),
             is_draining: AtomicBool::new(false),
@@ -171,6 +175,19 @@
         self.crash_log.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the requests that are suspected of ending their targets.
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Refuses a call whose request has ended so many targets that it is not sent to others.
+    pub(crate) fn check_quarantine(&self, request: CallFingerprint) -> Result<(), CallError> {
+        match self.quarantine().suspicion(request, monotonic_ms()) {
+            Suspicion::Quarantined => Err(ResultCode::RequestQuarantined.into()),
+            Suspicion::None | Suspicion::Suspected => Ok(()),
+        }
+    }
+
     /// Begins a shutdown: the node is reported as not ready, and serves calls that can end by `until`.
     pub(crate) fn begin_shutdown(&self, until: Instant) {
         self.stop_at.store(Some(Arc::new(until)));
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -37,7 +37,7 @@
 pub fn retry_rule(code: ResultCode, idempotent: bool) -> RetryRule {
     let run = code.run();
     match code {
-        ResultCode::DeadlineAfter => RetryRule::Never,
+        ResultCode::DeadlineAfter | ResultCode::RequestQuarantined => RetryRule::Never,
         _ if !may_retry(Attempt { run, idempotent }) => RetryRule::Never,
         ResultCode::TargetShed | ResultCode::TargetReplaced => {
             RetryRule::Charged(RetryReason::NotRun)
