Log the limit that a target states, and that it leaves

The headers are passed on to callers as before. The scripted target can send headers of the test's choice, and keeps when a request came.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -143,6 +143,10 @@
     TargetLosses = 406, Warn;
     /// A target ended while it ran calls; one of them may have caused it.
     TargetCrashed = 407, Warn;
+    /// A target states another limit on its rate of calls, or none any more.
+    TargetLimited = 408, Info;
+    /// A target says in its answers that it is about to leave.
+    TargetLeaving = 409, Info;
     /// A call was refused and not executed; lines beyond a rate limit are only counted.
     CallRefused = 501, Warn;
     /// A call may have been executed but got no response from its target; lines beyond a rate limit are only counted.
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -19,7 +19,7 @@
 use crate::node::control::TargetDown;
 use crate::node::envelope::{Envelope, write_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
-use crate::node::headers::{self, CODE, strip_hop_by_hop};
+use crate::node::headers::{self, CODE, TargetNotice, strip_hop_by_hop};
 use crate::node::respond::{error_response, respond};
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::{LocalTarget, NodeShared};
@@ -132,7 +132,7 @@
     }
     let (route, fingerprint) = (call.route.clone(), call.fingerprint);
     let started_ms = monotonic_ms();
-    let result = send_to_target(worker, local, call).await;
+    let result = send_to_target(worker, key, local, call).await;
     let elapsed = permit.elapsed();
     metrics::TARGET_TIME.observe(elapsed.as_secs_f64());
     let observed = call_outcome(&result);
@@ -206,10 +206,12 @@
 /// Sends a call to a local target and checks that the response belongs to the call.
 async fn send_to_target(
     worker: &Worker,
+    key: &TargetKey,
     local: &LocalTarget,
     mut call: Call,
 ) -> Result<TargetResponse, ResultCode> {
     let names = &worker.shared.headers;
+    let started_ms = monotonic_ms();
     let time_left = call.time_left().as_millis().to_string();
     headers::set(&mut call.headers, names.time_left.as_ref(), &time_left);
     if !local.instance.is_empty() {
@@ -220,6 +222,9 @@
     response.headers.remove(CODE);
     let echoed = names.call.as_ref().map(|name| response.headers.get(name).cloned());
     let is_matching = echoed.is_none_or(|echoed| echoed.is_none() || echoed == id);
+    if is_matching {
+        apply_notice(key, local, names.notice(&response.headers), started_ms);
+    }
     let not_run = names.not_run.as_ref().is_some_and(|name| response.headers.contains_key(name));
     let is_sealed = names.seal.as_ref().is_none_or(|name| response.headers.contains_key(name));
     match response.status {
@@ -236,6 +241,17 @@
     }
 }
 
+/// Records what a target says of itself in its response to a call that began at `started_ms`.
+fn apply_notice(key: &TargetKey, local: &LocalTarget, notice: TargetNotice, started_ms: u64) {
+    if local.stated().set_limit(notice.rate_limit, started_ms, monotonic_ms()) {
+        let limit = notice.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        Event::TargetLimited.emit(&[("target", key), ("limit", &limit)]);
+    }
+    if notice.is_leaving && !local.stated().set_leaving() {
+        Event::TargetLeaving.emit(&[("target", key), ("instance", &local.instance)]);
+    }
+}
+
 /// Returns whether the target lost or spoiled its answer; `None` if the result says nothing of that.
 fn answer_lost(result: &Result<TargetResponse, ResultCode>) -> Option<bool> {
     match result {
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -13,7 +13,7 @@
 };
 use kingcuplift_traffic::{
     CrashLog, LossMeter, Quarantine, RetryBudget, RetryLimits, RoutingView, StartupWindow,
-    Suspicion, TargetKey, WarmupTolerance, time_before_stop,
+    StatedLoad, Suspicion, TargetKey, WarmupTolerance, time_before_stop,
 };
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -43,6 +43,7 @@
     pub(crate) instance: SmolStr,
     pub(crate) admission: Arc<AdmissionController>,
     losses: Mutex<LossMeter>,
+    stated: Mutex<StatedLoad>,
     /// Whether a task checks if the target still accepts connections.
     pub(crate) is_checked: AtomicBool,
 }
@@ -54,7 +55,13 @@
         admission: Arc<AdmissionController>,
     ) -> Self {
         let is_checked = AtomicBool::new(false);
-        Self { address, instance, admission, losses: Mutex::default(), is_checked }
+        let (losses, stated) = (Mutex::default(), Mutex::default());
+        Self { address, instance, admission, losses, stated, is_checked }
+    }
+
+    /// Returns what the target has stated of itself in its answers.
+    pub(crate) fn stated(&self) -> MutexGuard<'_, StatedLoad> {
+        self.stated.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the meter of lost answers.
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -531,6 +531,8 @@
             caller: name("caller", wire.caller.as_deref()),
             own_instance: name("own_instance", wire.own_instance.as_deref()),
             warmup: name("warmup", wire.warmup.as_deref()),
+            rate_limit: name("rate_limit", wire.rate_limit.as_deref()),
+            leaving: name("leaving", wire.leaving.as_deref()),
         }
     }
 
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -334,7 +334,8 @@
                 "target": target.to_string(),
                 "stop_ms": 2_000,
                 "headers": { "call": "x-call", "time_left": "x-left", "seal": "x-seal",
-                    "instance": "x-instance", "not_run": "x-not-run", "caller": "x-caller" },
+                    "instance": "x-instance", "not_run": "x-not-run", "caller": "x-caller",
+                    "rate_limit": "x-limit", "leaving": "x-leaving" },
             },
         })
     }
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -57,10 +57,12 @@
 const FILLER_BATCH: usize = 1_024;
 
 /// A request that a [`ScriptedTarget`] received.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ReceivedRequest {
     /// Request line and headers, in lower case.
     pub head: String,
+    /// When the request arrived.
+    pub arrived_at: Instant,
     /// When the peer closed the connection, where it did so before a response.
     pub closed_at: Option<Instant>,
 }
@@ -80,6 +82,7 @@
     behavior: Arc<Mutex<TargetBehavior>>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     lives: Arc<Mutex<Lives>>,
+    headers: Arc<Mutex<String>>,
 }
 
 impl ScriptedTarget {
@@ -92,6 +95,7 @@
             behavior: Arc::new(Mutex::new(behavior)),
             requests: Arc::default(),
             lives: Arc::default(),
+            headers: Arc::default(),
         };
         target.accept(listener);
         target
@@ -161,6 +165,11 @@
         *self.behavior.lock().unwrap_or_else(PoisonError::into_inner) = behavior;
     }
 
+    /// Sets headers of the answers of [`TargetBehavior::Respond`] from now on; each line ends with CRLF.
+    pub fn set_headers(&self, headers: &str) {
+        *self.headers.lock().unwrap_or_else(PoisonError::into_inner) = headers.to_owned();
+    }
+
     /// Returns the requests received so far.
     pub fn requests(&self) -> Vec<ReceivedRequest> {
         self.requests.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -171,7 +180,8 @@
         while let Some(head) = read_head(&mut stream) {
             let index = {
                 let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
-                requests.push(ReceivedRequest { head: head.clone(), closed_at: None });
+                let arrived_at = Instant::now();
+                requests.push(ReceivedRequest { head: head.clone(), arrived_at, closed_at: None });
                 requests.len() - 1
             };
             let behavior = self.behavior.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -179,7 +189,9 @@
             let written = match behavior {
                 TargetBehavior::Respond(delay) => {
                     std::thread::sleep(delay);
-                    respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
+                    let more = self.headers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                    let headers = format!("x-call: {id}\r\nx-seal: s\r\n{more}");
+                    respond(&mut stream, "200 OK", &headers)
                 }
                 TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
                     return self.crash();
--- a/crates/testing/tests/platform_words.rs
+++ b/crates/testing/tests/platform_words.rs
@@ -26,7 +26,7 @@
     let api_paths =
         paths.filter_map(|path| Some(format!("/api/{}", path.split(['/', '"']).next()?)));
     let settings = read(&root().join("platform/node.json"));
-    let is_header = |text: &&str| text.starts_with("kingcuplift-");
+    let is_header = |text: &&str| text.starts_with("kingcuplift-") || text.starts_with("server-");
     let headers = settings.split('"').filter(is_header).map(str::to_owned);
     let mut names: Vec<String> =
         fields.map(str::to_owned).chain(api_paths).chain(headers).collect();
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry_budget;
 mod router;
 mod stale_links;
+mod stated_load;
 mod table;
 mod view;
 
@@ -43,5 +44,6 @@
 pub use retry_budget::{RetryBudget, RetryLimits, RetryReason};
 pub use router::{RouteMatch, Router};
 pub use stale_links::LinkStaleness;
+pub use stated_load::StatedLoad;
 pub use table::{MergeResult, TargetKey, TargetTable};
 pub use view::{RoutingView, ServiceView, ServingVersions, is_zone_out, serving_versions};
