Keep the rate of calls that a target states (LIMIT)

Cause: nothing read the statement. The load on a target followed from its slots alone, so a target that needs less than its slots bear had no way to say so.

Change: the node beside a target, through which all of its calls pass, keeps the stated rate in its admission control, beside the limit of a cold target: evenly spaced, a quarter of a second's worth early after a pause. What the target's slots can use under the limit is reported as its load, as with cold targets, so other nodes choose others; a call that can't be served in time is refused at once and goes on without cost. The limit ends with the first answer that lacks it.

Why it works: there is one gate for each target, so no sum over nodes has to be estimated.

--- a/crates/daemon/src/node/admission.rs
+++ b/crates/daemon/src/node/admission.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use kingcuplift_core::{Rank, ResultCode};
+use kingcuplift_core::{PerSecond, Rank, ResultCode};
 use kingcuplift_traffic::{
     Admission, AdmissionLimits, CallId, CallOutcome, CallTimes, ConcurrencyLimit, Decision,
     LoadReport, Release, WarmupPace,
@@ -138,7 +138,14 @@
         self.lock().admission.set_rate_limit(pace, now + time.as_micros() as u64, now);
     }
 
-    /// Removes the rate limit.
+    /// Limits the rate of calls to what the target states; `None` ends the limit.
+    pub(crate) fn set_stated_limit(self: &Arc<Self>, rate: Option<PerSecond>) {
+        let mut state = self.lock();
+        state.admission.set_stated_limit(rate, monotonic_us());
+        self.dispatch_queue(&mut state);
+    }
+
+    /// Removes the rate limit of a cold target.
     pub(crate) fn clear_rate_limit(&self) {
         let mut state = self.lock();
         state.admission.clear_rate_limit();
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -246,6 +246,7 @@
     if local.stated().set_limit(notice.rate_limit, started_ms, monotonic_ms()) {
         let limit = notice.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         Event::TargetLimited.emit(&[("target", key), ("limit", &limit)]);
+        local.admission.set_stated_limit(notice.rate_limit);
     }
     if notice.is_leaving && !local.stated().set_leaving() {
         Event::TargetLeaving.emit(&[("target", key), ("instance", &local.instance)]);
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -1,10 +1,12 @@
-//! Admission control for one target: slots, a priority queue, deadlines, and a rate limit while the target is cold.
+//! Admission control for one target: slots, a priority queue, deadlines, and rate limits.
+//!
+//! The rate of calls is limited while the target is cold, and while it states a limit itself.
 //!
 //! Within a rank, calls that can still meet their latency objective are served before those that can't.
 
 use std::collections::{BTreeMap, HashMap};
 
-use kingcuplift_core::{Rank, ResultCode};
+use kingcuplift_core::{PerSecond, Rank, ResultCode};
 
 use crate::cold_rush::WarmupPace;
 
@@ -18,6 +20,10 @@
 const WAIT_DIVISOR: u64 = 4;
 /// Microseconds in a second.
 const SECOND_US: f64 = 1_000_000.0;
+/// Longest time between two calls to a target that states a limit, in microseconds.
+const MAX_INTERVAL_US: f64 = 60.0 * SECOND_US;
+/// Time by which calls may run early after an idle period at a target that states a limit, in microseconds.
+const STATED_BURST_US: u64 = 250_000;
 /// Weight of the newest service time in the moving average: one in this many.
 const SERVICE_TIME_DIVISOR: u64 = 8;
 
@@ -88,7 +94,7 @@
     arrived_us: u64,
 }
 
-/// Rate limit for a cold target: calls are evenly spaced, with a small burst after an idle period.
+/// Rate limit of a target: calls are evenly spaced, with a small burst after an idle period.
 #[derive(Debug, Clone, Copy)]
 struct RateLimit {
     interval_us: u64,
@@ -132,7 +138,10 @@
     releases: u64,
     service_us: u64,
     acceptance: Acceptance,
+    /// Limit while the target is cold.
     rate_limit: Option<RateLimit>,
+    /// Limit that the target states.
+    stated_limit: Option<RateLimit>,
     /// Moving average of the wait of each rank, in microseconds.
     average_waits: HashMap<Rank, u64>,
 }
@@ -150,6 +159,7 @@
             service_us: 0,
             acceptance: Acceptance::Open,
             rate_limit: None,
+            stated_limit: None,
             average_waits: HashMap::new(),
         }
     }
@@ -170,29 +180,50 @@
         self.rate_limit = None;
     }
 
+    /// Limits the rate of calls to what the target states that it takes from all nodes, until it states another limit.
+    pub fn set_stated_limit(&mut self, rate: Option<PerSecond>, now_us: u64) {
+        let earlier = self.stated_limit;
+        self.stated_limit = rate.map(|rate| {
+            let interval_us = (SECOND_US / rate.get()).min(MAX_INTERVAL_US) as u64;
+            let next_us = earlier.map_or(now_us, |limit| limit.next_us.min(now_us + interval_us));
+            RateLimit { interval_us, burst_us: STATED_BURST_US, next_us, until_us: u64::MAX }
+        });
+    }
+
+    /// Returns the rate limits that hold at present.
+    fn rate_limits(&self, now_us: u64) -> impl Iterator<Item = &RateLimit> {
+        let limits = self.rate_limit.iter().chain(&self.stated_limit);
+        limits.filter(move |limit| !limit.is_over(now_us))
+    }
+
+    /// Returns whether the rate limits let a call run now.
+    fn is_due(&self, now_us: u64) -> bool {
+        self.rate_limits(now_us).all(|limit| limit.is_due(now_us))
+    }
+
     /// Returns whether the rate of calls is limited.
     pub fn is_rate_limited(&self, now_us: u64) -> bool {
-        self.rate_limit.is_some_and(|limit| !limit.is_over(now_us))
+        self.rate_limits(now_us).next().is_some()
     }
 
-    /// Returns when the rate limit next lets a waiting call run, if calls wait for nothing else.
+    /// Returns when the rate limits next let a waiting call run, if calls wait for nothing else.
     pub fn next_release(&self, now_us: u64) -> Option<u64> {
-        let waits = !self.waiting.is_empty() && self.running < self.limits.slots;
-        let limit = self.rate_limit.filter(|limit| waits && !limit.is_due(now_us))?;
-        Some(limit.next_us.min(limit.until_us))
+        if self.waiting.is_empty() || self.running >= self.limits.slots {
+            return None;
+        }
+        let limits = self.rate_limits(now_us).filter(|limit| !limit.is_due(now_us));
+        limits.map(|limit| limit.next_us.min(limit.until_us)).max()
     }
 
-    /// Returns the number of calls that may run at a time under the rate limit.
+    /// Returns the number of calls that may run at a time under the rate limits.
     pub fn effective_slots(&self, now_us: u64) -> u32 {
         let slots = self.limits.slots;
-        match self.rate_limit.filter(|limit| !limit.is_over(now_us)) {
-            Some(limit) if self.service_us > 0 => {
-                let sustainable = (self.service_us / limit.interval_us.max(1)) as u32;
-                sustainable.clamp(1, slots.max(1))
-            }
-            Some(_) => (slots / COLD_DIVISOR).max(1),
-            None => slots,
-        }
+        let sustainable = |limit: &RateLimit| match self.service_us {
+            0 => slots / COLD_DIVISOR,
+            service_us => (service_us / limit.interval_us.max(1)) as u32,
+        };
+        let least = self.rate_limits(now_us).map(sustainable).min();
+        least.map_or(slots, |least| least.clamp(1, slots.max(1)))
     }
 
     /// Sets new limits; running calls are not affected.
@@ -251,7 +282,7 @@
         times: CallTimes,
         now_us: u64,
     ) -> Decision {
-        let is_due = self.rate_limit.is_none_or(|limit| limit.is_due(now_us));
+        let is_due = self.is_due(now_us);
         match () {
             () if self.acceptance != Acceptance::Open => {
                 return Decision::Refuse(ResultCode::Draining);
@@ -306,7 +337,7 @@
     fn has_room_for_late_call(&self, rank: Rank, now_us: u64) -> bool {
         let same_rank = self.waiting.range((rank, false, 0)..=(rank, true, u64::MAX)).count();
         let allowed = match self.is_rate_limited(now_us) {
-            // Another target may be warm, so a cold one queues no call past its objective.
+            // Another target may be warm or have no limit, so this one queues no call past its objective.
             true => 0,
             false => (self.limits.slots / LATE_CALLS_DIVISOR).max(1) as usize,
         };
@@ -335,9 +366,8 @@
     /// Counts a call that starts to run.
     fn start(&mut self, now_us: u64) {
         self.running += 1;
-        if let Some(limit) = self.rate_limit.as_mut().filter(|limit| !limit.is_over(now_us)) {
-            limit.take(now_us);
-        }
+        let limits = self.rate_limit.iter_mut().chain(&mut self.stated_limit);
+        limits.filter(|limit| !limit.is_over(now_us)).for_each(|limit| limit.take(now_us));
     }
 
     /// Records that a running call has ended, and releases waiting calls.
@@ -359,9 +389,7 @@
             return self.release_closed();
         }
         let mut released = Vec::new();
-        while self.running < self.limits.slots
-            && self.rate_limit.is_none_or(|limit| limit.is_due(now_us))
-        {
+        while self.running < self.limits.slots && self.is_due(now_us) {
             let Some(key) = self.next_queue_key() else { break };
             let Some(call) = self.waiting.remove(&key) else { break };
             self.queue_keys.remove(&call.id);
@@ -423,12 +451,10 @@
     fn wait_behind(&self, ahead: usize, now_us: u64) -> u64 {
         let ahead = ahead as u64 + 1;
         let by_slots = ahead * self.service_us / u64::from(self.limits.slots.max(1));
-        match self.rate_limit.filter(|limit| !limit.is_over(now_us)) {
-            Some(limit) => {
-                let until_warm = limit.until_us - now_us;
-                by_slots.max((ahead * limit.interval_us).min(until_warm + by_slots))
-            }
-            None => by_slots,
-        }
+        let by_rate = |limit: &RateLimit| {
+            let until_over = (limit.until_us - now_us).saturating_add(by_slots);
+            ahead.saturating_mul(limit.interval_us).min(until_over)
+        };
+        self.rate_limits(now_us).map(by_rate).fold(by_slots, u64::max)
     }
 }
