--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -113,7 +113,12 @@
                 lives.streams.extend(stream.try_clone());
                 drop(lives);
                 let server = server.clone();
-                std::thread::spawn(move || server.serve(stream));
+                std::thread::spawn(move || {
+                    let peer = stream.peer_addr().ok();
+                    server.serve(stream);
+                    // The connection stays open as long as there is a copy of its stream.
+                    server.lives().streams.retain(|other| other.peer_addr().ok() != peer);
+                });
             }
         });
     }
