Send no calls to a target that says in its answers that it leaves (DRAIN)

Cause: leaving was known from reports alone, which may be late or never come. The same class of fault as the limit: what a target says of itself in its answers was not read.

Change: with the first such answer the node beside the target closes its admission at once, lets queued calls in for a second at most, and announces the target as leaving. That holds for the life of the target: a report that says "ready" was sent before or is mistaken. A node that restarts does not adopt a target whose health answer says so. TargetDown becomes TargetChanged, with what has changed.

--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -22,10 +22,12 @@
 use tokio::sync::mpsc;
 
 pub(crate) use self::messages::{
-    Announce, ApplySettings, Deregister, Drain, GetHealth, InstanceReport, TargetDown, Withdraw,
+    Announce, ApplySettings, Deregister, Drain, GetHealth, InstanceReport, TargetChange,
+    TargetChanged, Withdraw,
 };
 
 use self::local_targets::KnownInstance;
+pub(crate) use self::local_targets::QUEUE_GRACE;
 use crate::clock::monotonic_ms;
 use crate::link::Endpoint;
 use crate::metrics;
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -12,9 +12,7 @@
 
 use crate::clock::{monotonic_ms, wall_us};
 use crate::node::admission::AdmissionController;
-use crate::node::control::messages::{
-    Announce, Deregister, InstanceReport, KnownTargetChecked, TargetDown,
-};
+use crate::node::control::messages::{Announce, Deregister, InstanceReport, KnownTargetChecked};
 use crate::node::control::{LEASE_MS, NodeActor};
 use crate::node::probe::check_health;
 use crate::node::shared::{LocalTarget, LocalTargets};
@@ -24,7 +22,7 @@
 /// Rate limit of a cold target whose service configures none.
 const DEFAULT_WARMUP_RATE: PerSecond = PerSecond::new(20.0);
 /// Time for which queued calls may still go to a leaving target: half of the minimum notice that it gives.
-const QUEUE_GRACE: Duration = Duration::from_secs(1);
+pub(crate) const QUEUE_GRACE: Duration = Duration::from_secs(1);
 /// Queue limit of a target whose service is not configured.
 const DEFAULT_QUEUE: u32 = 100;
 
@@ -113,9 +111,11 @@
     fn state_of(&self, key: &TargetKey) -> TargetState {
         let is_ready =
             self.instances.get(key).is_none_or(|known| !known.report.is_leaving && !known.is_down);
+        let local_targets = self.shared.local_targets.load();
+        let is_leaving = local_targets.get(key).is_some_and(|local| local.stated().is_leaving());
         match self.leases.get(key) {
             None => TargetState::Gone,
-            Some(_) if is_ready && !self.shared.is_draining() => TargetState::Ready,
+            Some(_) if is_ready && !is_leaving && !self.shared.is_draining() => TargetState::Ready,
             Some(_) => TargetState::Leaving,
         }
     }
@@ -315,17 +315,17 @@
     }
 
     /// Takes a target that refuses connections out of service until it reports again.
-    pub(super) fn mark_down(&mut self, down: &TargetDown) {
-        let Some(known) = self.instances.get_mut(&down.key) else { return };
-        if known.report.instance != down.instance || known.is_down {
+    pub(super) fn mark_down(&mut self, key: &TargetKey, instance: &SmolStr) {
+        let Some(known) = self.instances.get_mut(key) else { return };
+        if known.report.instance != *instance || known.is_down {
             return;
         }
         known.is_down = true;
-        Event::TargetLost.emit(&[("target", &down.key), ("instance", &down.instance)]);
-        if let Some(local) = self.shared.local_targets.load().get(&down.key) {
+        Event::TargetLost.emit(&[("target", key), ("instance", instance)]);
+        if let Some(local) = self.shared.local_targets.load().get(key) {
             local.admission.close(Duration::ZERO);
         }
-        self.republish_target(&down.key);
+        self.republish_target(key);
     }
 
     /// Takes an instance out of service permanently; a delayed report does not bring it back.
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -49,16 +49,26 @@
     pub(crate) start_time_ms: u64,
 }
 
-/// Reports that a target refuses connections.
+/// What calls to a target have shown.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum TargetChange {
+    /// The target refuses connections.
+    Down,
+    /// The target says in an answer that it is about to leave.
+    Leaving,
+}
+
+/// Reports what calls to a target have shown.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub(crate) struct TargetDown {
+pub(crate) struct TargetChanged {
     pub(crate) key: TargetKey,
     pub(crate) instance: SmolStr,
+    pub(crate) change: TargetChange,
 }
 
-impl TargetDown {
-    /// Notifies the node's actor; if its mailbox is full, a later call to the target does so again.
+impl TargetChanged {
+    /// Notifies the node's actor; if its mailbox is full, a later call to the target or its next report does so again.
     pub(crate) fn send(self, shared: &NodeShared) {
         if let Some(control) = shared.control.get() {
             drop(control.try_send(self));
@@ -170,11 +180,14 @@
     }
 }
 
-impl Handler<TargetDown> for NodeActor {
+impl Handler<TargetChanged> for NodeActor {
     type Result = ();
 
-    fn handle(&mut self, message: TargetDown, _: &mut Self::Context) {
-        self.mark_down(&message);
+    fn handle(&mut self, message: TargetChanged, _: &mut Self::Context) {
+        match message.change {
+            TargetChange::Down => self.mark_down(&message.key, &message.instance),
+            TargetChange::Leaving => self.republish_target(&message.key),
+        }
     }
 }
 
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -16,7 +16,7 @@
 use crate::error::StartError;
 use crate::metrics;
 use crate::node::body::Body;
-use crate::node::control::TargetDown;
+use crate::node::control::{QUEUE_GRACE, TargetChange, TargetChanged};
 use crate::node::envelope::{Envelope, write_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
 use crate::node::headers::{self, CODE, TargetNotice, strip_hop_by_hop};
@@ -162,7 +162,13 @@
 fn report_down(worker: &Worker, key: &TargetKey, local: &LocalTarget) {
     worker.pool.close_idle(local.address);
     worker.shared.crash_log().record_down(key, monotonic_ms());
-    TargetDown { key: key.clone(), instance: local.instance.clone() }.send(&worker.shared);
+    report_change(worker, key, local, TargetChange::Down);
+}
+
+/// Reports to the node's control plane what a call to a target has shown.
+fn report_change(worker: &Worker, key: &TargetKey, local: &LocalTarget, change: TargetChange) {
+    let instance = local.instance.clone();
+    TargetChanged { key: key.clone(), instance, change }.send(&worker.shared);
 }
 
 /// Checks in the background whether a target that has lost an answer still accepts connections.
@@ -223,7 +229,7 @@
     let echoed = names.call.as_ref().map(|name| response.headers.get(name).cloned());
     let is_matching = echoed.is_none_or(|echoed| echoed.is_none() || echoed == id);
     if is_matching {
-        apply_notice(key, local, names.notice(&response.headers), started_ms);
+        apply_notice(worker, key, local, names.notice(&response.headers), started_ms);
     }
     let not_run = names.not_run.as_ref().is_some_and(|name| response.headers.contains_key(name));
     let is_sealed = names.seal.as_ref().is_none_or(|name| response.headers.contains_key(name));
@@ -242,7 +248,13 @@
 }
 
 /// Records what a target says of itself in its response to a call that began at `started_ms`.
-fn apply_notice(key: &TargetKey, local: &LocalTarget, notice: TargetNotice, started_ms: u64) {
+fn apply_notice(
+    worker: &Worker,
+    key: &TargetKey,
+    local: &LocalTarget,
+    notice: TargetNotice,
+    started_ms: u64,
+) {
     if local.stated().set_limit(notice.rate_limit, started_ms, monotonic_ms()) {
         let limit = notice.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         Event::TargetLimited.emit(&[("target", key), ("limit", &limit)]);
@@ -250,6 +262,8 @@
     }
     if notice.is_leaving && !local.stated().set_leaving() {
         Event::TargetLeaving.emit(&[("target", key), ("instance", &local.instance)]);
+        local.admission.close(QUEUE_GRACE);
+        report_change(worker, key, local, TargetChange::Leaving);
     }
 }
 
--- a/crates/daemon/src/node/probe.rs
+++ b/crates/daemon/src/node/probe.rs
@@ -15,7 +15,7 @@
 
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Returns the remaining warm-up time of a target; `None` if it isn't healthy or is another instance.
+/// Returns the remaining warm-up time of a target; `None` if it isn't healthy, leaves, or is another instance.
 pub(crate) async fn check_health(
     names: &HeaderNames,
     address: SocketAddr,
@@ -49,5 +49,6 @@
     let warmup = text(&response.headers, names.warmup.as_ref());
     let warmup_ms = warmup.and_then(|text| text.parse().ok()).unwrap_or(0.0);
     let warmup = Duration::try_from_secs_f64(warmup_ms / 1_000.0).unwrap_or_default();
-    (response.status == StatusCode::OK && is_expected).then_some(warmup)
+    let is_leaving = names.notice(&response.headers).is_leaving;
+    (response.status == StatusCode::OK && is_expected && !is_leaving).then_some(warmup)
 }
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -20,7 +20,7 @@
 
 use crate::clock::monotonic_ms;
 use crate::node::admission::AdmissionController;
-use crate::node::control::TargetDown;
+use crate::node::control::TargetChanged;
 use crate::node::evidence::EvidenceTable;
 use crate::node::forward::CallError;
 use crate::node::headers::HeaderNames;
@@ -94,8 +94,8 @@
     evidence: Mutex<EvidenceTable>,
     crash_log: Mutex<CrashLog>,
     quarantine: Mutex<Quarantine>,
-    /// Receiver of reports on local targets that refuse connections.
-    pub(crate) control: OnceLock<Recipient<TargetDown>>,
+    /// Receiver of reports on local targets that refuse connections or are about to leave.
+    pub(crate) control: OnceLock<Recipient<TargetChanged>>,
     /// Number of nodes with a target; at least 1.
     pub(crate) node_count: AtomicUsize,
     is_draining: AtomicBool,
--- a/crates/traffic/src/stated_load.rs
+++ b/crates/traffic/src/stated_load.rs
@@ -29,4 +29,9 @@
     pub fn set_leaving(&mut self) -> bool {
         std::mem::replace(&mut self.is_leaving, true)
     }
+
+    /// Returns whether the target has said that it is about to leave; it can't take that back.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
 }
