Tests: an answer that breaks off anywhere in its head is no answer

Reported by other operators: a target stopped in the middle of the head and closed, and callers got a 200 with an empty or short body that looked whole. Not possible here: cut at each byte of three heads (with a length, in chunks, ended by the connection after an interim answer), as a read and as a booking, each call gets 502 with "unknown".

--- a/crates/cli/tests/cut_answers.rs
+++ b/crates/cli/tests/cut_answers.rs
@@ -84,3 +84,29 @@
         assert_eq!((response.status, response.header("x-call"), &response.body[..]), expected);
     }
 }
+
+/// An answer with a length.
+const WITH_LENGTH: &str =
+    "HTTP/1.1 200 OK\r\nx-call: ID\r\nx-seal: s\r\ncontent-length: 12\r\n\r\n";
+/// An answer in chunks.
+const IN_CHUNKS: &str =
+    "HTTP/1.1 200 OK\r\nx-call: ID\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+/// An answer that ends with its connection, after an interim answer.
+const WITHOUT_LENGTH: &str =
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-call: ID\r\nx-seal: s\r\n\r\n";
+
+/// A target that stops anywhere in the head of its answer and closes the connection has not answered.
+#[rstest]
+fn cut_head_is_no_answer(
+    #[values(WITH_LENGTH, IN_CHUNKS, WITHOUT_LENGTH)] head: &'static str,
+    #[values(("GET", "/read/1"), ("POST", "/book/1"))] call: (&str, &str),
+) {
+    let (site, target) = start_desk_site(TargetBehavior::Disconnect);
+    for end in 1..head.len() {
+        let start = &head[..end];
+        target.set_behavior(TargetBehavior::CutOff { start, filler: "", count: 0 });
+        let response = call_desk(&site, "node-1", call.0, call.1, &format!("c-{end}"));
+        let result = (response.status, response.json()["run"].as_str().map(str::to_owned));
+        assert_eq!(result, (502, Some("unknown".to_owned())), "after {start:?}");
+    }
+}
