Believe no refusal that lacks the call's id

Cause: here a response without an id counted as the call's own. One with another call's id did not, so a second copy of a refusal did no harm if it had the id, and was believed if it had not: the call after the refused one was answered 503, "not run", and ran.

Change: where an id is configured and the call has one, the response must repeat it; else it is damaged, the outcome is unknown, and the idle connections to the target are closed.

--- a/crates/cli/tests/late_copies.rs
+++ b/crates/cli/tests/late_copies.rs
@@ -56,3 +56,29 @@
         assert!(runs <= 1 || call.0 == "GET", "call {number} ran {runs} times");
     }
 }
+
+/// A refusal that is sent once more, where the answer to the next call is due, says nothing of that call.
+#[rstest]
+#[case::with_id("503 Service Unavailable", "x-call: ID\r\nx-not-run: 1\r\n")]
+#[case::without_id("503 Service Unavailable", "x-not-run: 1\r\n")]
+#[case::too_many("429 Too Many Requests", "x-not-run: 1\r\n")]
+#[case::misdirected("421 Misdirected Request", "")]
+#[case::misdirected_with_id("421 Misdirected Request", "x-call: ID\r\n")]
+fn stale_refusal_reaches_no_caller(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+    #[values(("GET", "/read/1"), ("POST", "/book/1"))] call: (&str, &str),
+) {
+    let (site, target) = start_desk_site(TargetBehavior::StaleRefusal { status, headers });
+    for number in 0..CALLS {
+        let id = format!("c-{number}");
+        let response = call_desk(&site, "node-1", call.0, call.1, &id);
+        let line = format!("x-call: {id}\n");
+        let requests = target.requests();
+        let runs = requests.iter().filter(|request| request.head.contains(&line));
+        let runs = runs.filter(|request| !request.is_refused).count();
+        assert!(runs <= 1 || call.0 == "GET", "call {number} ran {runs} times");
+        let is_refused = response.json()["run"].as_str() == Some("not_run");
+        assert!(!is_refused || runs == 0, "call {number} ran, and was called not run");
+    }
+}
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -226,8 +226,9 @@
     let id = call.id.clone();
     let mut response = forward::send(&worker.pool, local.address, call, true).await?;
     response.headers.remove(CODE);
+    // Without the call's id, a response may be one to an earlier call on the same connection.
     let echoed = names.call.as_ref().map(|name| response.headers.get(name).cloned());
-    let is_matching = echoed.is_none_or(|echoed| echoed.is_none() || echoed == id);
+    let is_matching = id.is_none() || echoed.is_none_or(|echoed| echoed == id);
     if is_matching {
         apply_notice(worker, key, local, names.notice(&response.headers), started_ms);
     }
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -18,6 +18,13 @@
     LateCopy(Duration),
     /// Sends a second copy of the previous response on the connection when the next request arrives, then responds to it.
     StaleCopy,
+    /// Refuses the first request of a connection; sends that refusal again when the next request arrives, then runs it.
+    StaleRefusal {
+        /// Status of the refusal.
+        status: &'static str,
+        /// Headers of the refusal; `ID` stands for the id of the first call.
+        headers: &'static str,
+    },
     /// Responds with success, but without the seal header.
     NoSeal,
     /// Responds with 503 and the header that says that the request has not run.
@@ -63,6 +70,8 @@
     pub head: String,
     /// When the request arrived.
     pub arrived_at: Instant,
+    /// Whether the target refused the request rather than running it.
+    pub is_refused: bool,
     /// When the peer closed the connection, where it did so before a response.
     pub closed_at: Option<Instant>,
 }
@@ -186,7 +195,12 @@
             let index = {
                 let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
                 let arrived_at = Instant::now();
-                requests.push(ReceivedRequest { head: head.clone(), arrived_at, closed_at: None });
+                requests.push(ReceivedRequest {
+                    head: head.clone(),
+                    arrived_at,
+                    is_refused: false,
+                    closed_at: None,
+                });
                 requests.len() - 1
             };
             let behavior = self.behavior.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -230,6 +244,20 @@
                     let headers = format!("x-call: {id}\r\nx-seal: s\r\n");
                     copied.and_then(|()| respond(&mut stream, "200 OK", &headers))
                 }
+                TargetBehavior::StaleRefusal { status, headers } => {
+                    let (first_id, is_first) = match &previous_id {
+                        Some(first) => (first.clone(), false),
+                        None => (previous_id.insert(id.to_owned()).clone(), true),
+                    };
+                    let answer = format!("x-call: {id}\r\nx-seal: s\r\n");
+                    self.requests.lock().unwrap_or_else(PoisonError::into_inner)[index]
+                        .is_refused = is_first;
+                    let refused = respond(&mut stream, status, &headers.replace("ID", &first_id));
+                    match is_first {
+                        true => refused,
+                        false => refused.and_then(|()| respond(&mut stream, "200 OK", &answer)),
+                    }
+                }
                 TargetBehavior::NoSeal => {
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\n"))
                 }
