Refuse reports with numbers that no target states

Reported by other operators: one odd entry among those of the targets (deeply nested, a number too large, a port out of range) ended the processes that read it, or they stopped following the list.

Here: nesting, a port out of range and numbers that don't fit their fields were refused already (tests that passed at once), and nothing ended. But a number that just fits was taken: a start in the year 287,396, a sequence of 2^64-1, a warm-up of 300,000 years or 4 billion slots. Such a report takes the place of the target at its address, and the target's own reports are outdated from then on.

--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use smol_str::SmolStr;
 
+use crate::clock::wall_ms;
 use crate::error::StartError;
 use crate::listener::serve_management;
 use crate::metrics;
@@ -25,6 +26,15 @@
 /// Maximum time for which a drain waits for calls in flight.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest warm-up that a report may state.
+const MAX_WARMUP: Duration = Duration::from_secs(24 * 60 * 60);
+/// Largest number of slots that a report may state.
+const MAX_SLOTS: u32 = 1_000_000;
+/// Largest sequence number that a report may state; larger numbers are not exact in all JSON writers.
+const MAX_SEQUENCE: u64 = 1 << 53;
+/// Time by which the clock of a target may be ahead of the node's, in milliseconds.
+const MAX_CLOCK_SKEW_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Announcement of a target by its service.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -158,6 +168,8 @@
     let instance: NodeName = instance.parse().map_err(|e| format!("instance: {e}"))?;
     let address: SocketAddr = body.address.parse().map_err(|e| format!("address: {e}"))?;
     let warmup = Duration::try_from_secs_f64(body.warmup_ms / 1_000.0);
+    let warmup = warmup.map_err(|e| format!("warmup_ms: {e}"))?;
+    check_plausible(&body, warmup)?;
     Ok(Announce {
         service,
         version: SmolStr::new(version.as_str()),
@@ -168,11 +180,23 @@
             start_time_ms: body.born,
             sequence: body.sequence,
             is_leaving: matches!(body.state, ReportedState::Leaving),
-            warmup: warmup.map_err(|e| format!("warmup_ms: {e}"))?,
+            warmup,
         }),
     })
 }
 
+/// Refuses numbers that no target states; one of them would outlast the target's own reports.
+fn check_plausible(body: &InstanceReportBody, warmup: Duration) -> Result<(), String> {
+    let latest_born = wall_ms().saturating_add(MAX_CLOCK_SKEW_MS);
+    match body {
+        _ if warmup > MAX_WARMUP => Err(format!("warmup_ms: above {}", MAX_WARMUP.as_millis())),
+        body if body.slots > MAX_SLOTS => Err(format!("slots: above {MAX_SLOTS}")),
+        body if body.sequence > MAX_SEQUENCE => Err(format!("sequence: above {MAX_SEQUENCE}")),
+        body if body.born > latest_born => Err("born: in the future".to_owned()),
+        _ => Ok(()),
+    }
+}
+
 /// Deregisters a target that leaves; its calls in flight finish.
 async fn delete_instance(
     instance: web::Path<String>,
