Ignore a report for an unknown service at the address of a known target

Reported by other operators: an odd entry among those of the targets. Here a report that names a service which is not configured, at the address of a target whose service is, withdrew that target, and calls were refused for good: 503 for each call (odd_report_changes_nothing, case service). A service that comes with a later configuration gets its target with the next report.

--- a/crates/cli/tests/odd_reports.rs
+++ b/crates/cli/tests/odd_reports.rs
@@ -45,6 +45,7 @@
 #[case::large_slots(json!({ "slots": 1e12 }))]
 #[case::port(json!({ "address": "127.0.0.1:99999" }))]
 #[case::address(json!({ "address": "x".repeat(10_000) }))]
+#[case::service(json!({ "service": "nobody" }))]
 #[case::nested_field(json!({ "service": { "service": [{}] } }))]
 fn odd_report_changes_nothing(#[case] changes: serde_json::Value) {
     let (site, target) = start_desk_site(TargetBehavior::Respond(Duration::ZERO));
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -200,6 +200,11 @@
             if self.is_outdated(report, message.address) {
                 return;
             }
+            if self.is_foreign(&key, message.address) {
+                let reason = "its service is not configured, and another target has its address";
+                Event::ReportRefused.emit(&[("instance", &report.instance), ("reason", &reason)]);
+                return;
+            }
             self.withdraw_earlier_instances(&key, report, message.address);
         }
         let spec = service_spec(self.config.document(), &key.service);
@@ -248,6 +253,15 @@
             || newest.is_some_and(|newest| (report.start_time_ms, report.sequence) <= newest)
     }
 
+    /// Returns whether a report names a service that is not configured, at the address of a target whose service is.
+    fn is_foreign(&self, key: &TargetKey, address: SocketAddr) -> bool {
+        let is_configured =
+            |key: &TargetKey| service_spec(self.config.document(), &key.service).is_some();
+        let address = address.to_string();
+        let mut at_address = self.leases.iter().filter(|(_, lease)| lease.address == address);
+        !is_configured(key) && at_address.any(|(other, _)| is_configured(other))
+    }
+
     /// Withdraws the earlier instances at the address of a reported one.
     fn withdraw_earlier_instances(
         &mut self,
