Keep a request cleared when its crashes are announced again

An answer to a suspected request dropped all that was known of it. The announcement of a target repeats its crashes for a minute, with each other change of the target, so the request was suspected again, and refused after three such crashes although a target had answered it. Found by reading.

The crashes stay, and those up to the latest answer don't count. quarantine::answer_clears_a_request now repeats the crashes after the answer; with the removal put back all three cases fail.

--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -276,7 +276,8 @@
             let outcome = attempt(self.worker, candidate, call).await;
             self.record_attempt(candidate, &route, &outcome);
             if outcome.result.is_ok() {
-                self.worker.shared.quarantine().record_answer(context.fingerprint);
+                let mut quarantine = self.worker.shared.quarantine();
+                quarantine.record_answer(context.fingerprint, monotonic_ms());
             }
             let disposition = self.decide(&outcome.result, context.fingerprint);
             if disposition == Disposition::Retry {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -141,7 +141,7 @@
         local.losses().record(lost, monotonic_ms());
     }
     match &result {
-        Ok(_) => worker.shared.quarantine().record_answer(fingerprint),
+        Ok(_) => worker.shared.quarantine().record_answer(fingerprint, monotonic_ms()),
         Err(ResultCode::TargetRefused) => report_down(worker, key, local),
         Err(code) if code.run() == RunState::Unknown => {
             let now = monotonic_ms();
--- a/crates/traffic/src/quarantine.rs
+++ b/crates/traffic/src/quarantine.rs
@@ -32,13 +32,34 @@
     Quarantined,
 }
 
-/// Crashes at which a request was in flight.
+/// A crash at which a request was in flight.
+#[derive(Debug)]
+struct SuspectCrash {
+    /// Node beside the target.
+    node: SmolStr,
+    /// Number of the crash there.
+    id: u64,
+    crashed_ms: u64,
+}
+
+/// Crashes at which a request was in flight, and the latest answer to it.
 #[derive(Debug, Default)]
 struct Suspect {
-    /// Node beside the target, and number of the crash there.
-    crashes: Vec<(SmolStr, u64)>,
-    /// When this node learnt of the latest one.
-    latest_ms: u64,
+    crashes: Vec<SuspectCrash>,
+    /// Crashes up to this time don't count.
+    answered_ms: Option<u64>,
+}
+
+impl Suspect {
+    fn latest_ms(&self) -> u64 {
+        self.crashes.iter().map(|crash| crash.crashed_ms).max().unwrap_or(0)
+    }
+
+    /// Returns the number of crashes since the latest answer.
+    fn unanswered(&self) -> usize {
+        let is_later = |at: u64| self.answered_ms.is_none_or(|answered| at > answered);
+        self.crashes.iter().filter(|crash| is_later(crash.crashed_ms)).count()
+    }
 }
 
 /// Requests that are suspected of ending their targets.
@@ -48,7 +69,7 @@
 }
 
 impl Quarantine {
-    /// Records a crash of a target beside `node`, and returns the requests that are refused from now on.
+    /// Records a crash of a target beside `node`, and returns the requests that are refused since then.
     ///
     /// The same crash may be recorded more than once, with more requests.
     pub fn record_crash(
@@ -56,40 +77,42 @@
         node: &SmolStr,
         id: u64,
         requests: &[CallFingerprint],
-        now_ms: u64,
+        crashed_ms: u64,
     ) -> Vec<CallFingerprint> {
         let mut refused = Vec::new();
         for request in requests {
-            let before = self.suspicion(*request, now_ms);
+            let before = self.suspicion(*request, crashed_ms);
             let suspect = self.suspects.entry(*request).or_default();
-            let crash = (node.clone(), id);
-            if suspect.crashes.contains(&crash) {
+            if suspect.crashes.iter().any(|crash| crash.node == *node && crash.id == id) {
                 continue;
             }
             if suspect.crashes.len() >= MAX_CRASHES {
                 suspect.crashes.remove(0);
             }
-            suspect.crashes.push(crash);
-            suspect.latest_ms = now_ms;
-            let after = self.suspicion(*request, now_ms);
+            suspect.crashes.push(SuspectCrash { node: node.clone(), id, crashed_ms });
+            let after = self.suspicion(*request, crashed_ms);
             if after != before && after == Suspicion::Quarantined {
                 refused.push(*request);
             }
         }
-        self.forget(now_ms);
+        self.forget(crashed_ms);
         refused
     }
 
-    /// Records that a target has answered a request, which clears it.
-    pub fn record_answer(&mut self, request: CallFingerprint) {
-        self.suspects.remove(&request);
+    /// Records that a target has answered a request, which clears it of the crashes so far.
+    ///
+    /// The crashes are kept, as later announcements of their targets repeat them.
+    pub fn record_answer(&mut self, request: CallFingerprint, now_ms: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.answered_ms = Some(now_ms);
+        }
     }
 
     /// Returns what is known of a request.
     pub fn suspicion(&self, request: CallFingerprint, now_ms: u64) -> Suspicion {
         let Some(suspect) = self.suspects.get(&request) else { return Suspicion::None };
-        let age = now_ms.saturating_sub(suspect.latest_ms);
-        match suspect.crashes.len() {
+        let age = now_ms.saturating_sub(suspect.latest_ms());
+        match suspect.unanswered() {
             CRASH_LIMIT.. if age < QUARANTINE_MS => Suspicion::Quarantined,
             1.. if age < SUSPICION_MS => Suspicion::Suspected,
             _ => Suspicion::None,
@@ -97,9 +120,9 @@
     }
 
     fn forget(&mut self, now_ms: u64) {
-        self.suspects.retain(|_, suspect| now_ms < suspect.latest_ms + SUSPICION_MS);
+        self.suspects.retain(|_, suspect| now_ms < suspect.latest_ms() + SUSPICION_MS);
         while self.suspects.len() > MAX_SUSPECTS {
-            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.latest_ms);
+            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.latest_ms());
             let Some(oldest) = oldest.map(|(request, _)| *request) else { return };
             self.suspects.remove(&oldest);
         }
--- a/crates/traffic/tests/quarantine.rs
+++ b/crates/traffic/tests/quarantine.rs
@@ -53,10 +53,13 @@
 
 /// A request that happened to be in flight at each crash is cleared by an answer.
 #[rstest]
-fn answer_clears_a_request(#[values(1, 2)] crashes: u64) {
+fn answer_clears_a_request(#[values(1, 2, 3)] crashes: u64) {
     let mut quarantine = Quarantine::default();
     repeat(&mut quarantine, 1..=crashes, 0);
-    quarantine.record_answer(GUILTY);
+    quarantine.record_answer(GUILTY, 10);
+    assert_eq!(quarantine.suspicion(GUILTY, 10), Suspicion::None);
+    // Later announcements of the targets repeat the crashes.
+    (1..=crashes).for_each(|id| repeat(&mut quarantine, id..=id, id));
     assert_eq!(quarantine.suspicion(GUILTY, 10), Suspicion::None);
     repeat(&mut quarantine, 11..=12, 20);
     assert_eq!(quarantine.suspicion(GUILTY, 20), Suspicion::Suspected);
