Keep crashes known over restarts of the nodes beside their targets

What callers would see: after a rolling restart of the nodes, a request that was refused reaches targets again and ends them.

Cause: the node beside a target keeps its crashes in memory, and its first announcement after a restart replaced the record that relays and other nodes had.

Change: merging an announcement into the table keeps the crashes of the earlier ones, the newest eight of a target, at nodes, relays and the source. A node announces what its table has. A crash is numbered by its time, and its age counts from then, so a record that is learnt late does not renew a quarantine.

--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use kingcuplift_testing::{
     PlaintextSite, ScriptedTarget, TargetBehavior, desk_configuration, put_revision, report_desk,
@@ -47,6 +47,12 @@
     format!("node-{}", index % TARGETS + 1)
 }
 
+/// Returns the time in milliseconds since the Unix epoch.
+fn wall_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    u64::try_from(elapsed.as_millis()).expect("the time fits")
+}
+
 /// Sends a call and returns its status.
 fn call(site: &PlaintextSite, from: usize, method: &str, path: &str, id: &str, body: &str) -> u16 {
     let headers = format!("host: a.example\r\nx-call: {id}\r\nx-left: 1500\r\n");
@@ -55,7 +61,7 @@
 
 /// Reports all targets, and restarts each some time after it has ended, as a new life.
 fn run_targets(site: &PlaintextSite, targets: &[ScriptedTarget], is_over: &AtomicBool) {
-    let mut born = [1_000; TARGETS];
+    let mut born = [wall_ms(); TARGETS];
     let (mut sequence, mut reported_at) = (1, Instant::now());
     while !is_over.load(Ordering::Relaxed) {
         let is_due = reported_at.elapsed() >= REPORT_INTERVAL;
@@ -66,7 +72,7 @@
             let crashed_at = target.crashes().last().copied();
             let is_back = target.is_down() && crashed_at.is_some_and(|at| at.elapsed() > DOWN_TIME);
             if is_back {
-                born[i] += 1;
+                born[i] = wall_ms();
                 target.restart();
             }
             if is_back || (is_due && !target.is_down()) {
@@ -78,6 +84,54 @@
     }
 }
 
+/// Kills and restarts all nodes, one after the other; the targets run on and report to the restarted nodes.
+fn restart_nodes(site: &mut PlaintextSite, targets: &[ScriptedTarget]) {
+    for (i, target) in targets.iter().enumerate() {
+        site.kill(&node(i));
+        site.start_process(&node(i));
+        site.wait("the restarted node", |site| {
+            let ready = request(&site.addresses(&node(i)).ready, "GET", "/readyz", "", "");
+            (ready.status == 200).then_some(())
+        });
+        let report = json!({ "born": wall_ms() });
+        assert_eq!(report_desk(site, &node(i), target, &report).status, 200);
+        std::thread::sleep(REPORT_INTERVAL / 2);
+    }
+}
+
+/// Nodes keep what they know in memory only; after all were restarted, in turn, the request must still be known.
+#[test]
+fn quarantine_outlives_restarts() {
+    let (mut site, targets) = start_site();
+    let is_over = AtomicBool::new(false);
+    let send = |site: &PlaintextSite, count: usize, name: &str| {
+        for number in 0..count {
+            let id = format!("{name}-{number}");
+            call(site, number, "GET", "/read/crash", &id, "");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| run_targets(&site, &targets, &is_over));
+        send(&site, 30, "before");
+        is_over.store(true, Ordering::Relaxed);
+    });
+    restart_nodes(&mut site, &targets);
+    let before: usize = targets.iter().map(|target| target.crashes().len()).sum();
+    assert!(before >= KNOWN_AFTER, "{before} targets ended");
+    is_over.store(false, Ordering::Relaxed);
+    std::thread::scope(|scope| {
+        scope.spawn(|| run_targets(&site, &targets, &is_over));
+        std::thread::sleep(SPREAD_TIME);
+        send(&site, 30, "after");
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let after: usize = targets.iter().map(|target| target.crashes().len()).sum();
+    assert_eq!(after, before, "targets ended after the restarts");
+    let answered = call(&site, 0, "GET", "/read/1", "other", "");
+    assert_eq!(answered, 200, "other calls are answered");
+}
+
 /// Without memory, a request that ends its targets is tried at two of them for each time that it is sent, for good.
 #[rstest]
 #[case::read("GET", "/read/crash", "")]
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -6,7 +6,7 @@
 
 const US_PER_SECOND: u64 = 1_000_000;
 const NS_PER_US: u64 = 1_000;
-const US_PER_MS: u64 = 1_000;
+pub(crate) const US_PER_MS: u64 = 1_000;
 
 /// Returns the milliseconds since the VM booted.
 pub(crate) fn monotonic_ms() -> u64 {
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -28,7 +28,7 @@
 
 use self::local_targets::KnownInstance;
 pub(crate) use self::local_targets::QUEUE_GRACE;
-use crate::clock::monotonic_ms;
+use crate::clock::{US_PER_MS, monotonic_ms, wall_us};
 use crate::link::Endpoint;
 use crate::metrics;
 use crate::node::shared::NodeShared;
@@ -231,12 +231,15 @@
 
     /// Records the requests that a target ran when it ended.
     fn record_crashes(&self, target: &Target, now_ms: u64) {
-        let node = SmolStr::new(&target.node);
+        let (node, wall_now_us) = (SmolStr::new(&target.node), wall_us());
         for crash in &target.crashes {
+            // Crashes are numbered by the time of day.
+            let age_ms = wall_now_us.saturating_sub(crash.id) / US_PER_MS;
+            let crashed_ms = now_ms.saturating_sub(age_ms);
             let requests = crash.requests.iter().map(|number| CallFingerprint::new(*number));
             let requests: Vec<_> = requests.collect();
             let mut quarantine = self.shared.quarantine();
-            for request in quarantine.record_crash(&node, crash.id, &requests, now_ms) {
+            for request in quarantine.record_crash(&node, crash.id, &requests, crashed_ms) {
                 let key = TargetKey::of(target);
                 Event::RequestQuarantined.emit(&[("request", &request), ("target", &key)]);
             }
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -427,6 +427,8 @@
         if !self.changed_services.is_empty() {
             self.publish_view();
         }
+        // The table's entry also has the crashes that were announced before this node's start.
+        let target = self.table.get(key).cloned().unwrap_or(target);
         let update = TargetUpdate { targets: vec![target], full: false, position: 0 };
         self.send_to_relay(upward::Body::Targets(update));
     }
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
-use kingcuplift_schema::control::{Target, TargetState};
+use kingcuplift_schema::control::{Crash, Target, TargetState};
 use smol_str::SmolStr;
 
 /// Time for which the tombstone of a gone target is kept, in milliseconds.
 const TOMBSTONE_TTL_MS: u64 = 300_000;
 
+/// Maximum number of crashes that are kept of one target.
+const MAX_CRASHES: usize = 8;
+
 /// Identity of a target: its service, version and node.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetKey {
@@ -64,12 +67,15 @@
 
 impl TargetTable {
     /// Merges one announcement; the higher incarnation wins, then the higher state.
-    pub fn merge(&mut self, target: Target, now_ms: u64) -> MergeResult {
+    ///
+    /// Crashes of earlier announcements are kept: the node beside the target forgets them when it restarts.
+    pub fn merge(&mut self, mut target: Target, now_ms: u64) -> MergeResult {
         let key = TargetKey::of(&target);
         if let Some(entry) = self.entries.get(&key) {
             if precedence(&target) <= precedence(&entry.target) {
                 return MergeResult::Unchanged;
             }
+            keep_crashes(&entry.target.crashes, &mut target.crashes);
             self.order.remove(&entry.position);
         }
         self.position += 1;
@@ -130,6 +136,16 @@
     }
 }
 
+/// Adds earlier crashes to those of an announcement, up to the newest [`MAX_CRASHES`].
+fn keep_crashes(earlier: &[Crash], crashes: &mut Vec<Crash>) {
+    let is_missing = |crash: &&Crash| crashes.iter().all(|other| other.id != crash.id);
+    let missing: Vec<Crash> = earlier.iter().filter(is_missing).cloned().collect();
+    crashes.extend(missing);
+    crashes.sort_by_key(|crash| crash.id);
+    let surplus = crashes.len().saturating_sub(MAX_CRASHES);
+    crashes.drain(..surplus);
+}
+
 /// Returns the precedence of an announcement among those of the same target.
 fn precedence(target: &Target) -> (u64, i32) {
     (target.incarnation, target.state)
--- a/crates/traffic/tests/target_table.rs
+++ b/crates/traffic/tests/target_table.rs
@@ -1,6 +1,6 @@
 //! Announced targets: merging in any order gives the same table, and a newer state is never undone.
 
-use kingcuplift_schema::control::{Target, TargetState};
+use kingcuplift_schema::control::{Crash, Target, TargetState};
 use kingcuplift_traffic::{MergeResult, TargetKey, TargetTable};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -111,3 +111,29 @@
     table.forget_gone(300_000);
     assert_eq!(table.changed_since(0).count(), 0);
 }
+
+fn with_crashes(incarnation: u64, crashes: &[(u64, u64)]) -> Target {
+    let mut target = target(1, incarnation, TargetState::Ready);
+    let crashes = crashes.iter().map(|(id, request)| Crash { id: *id, requests: vec![*request] });
+    target.crashes = crashes.collect();
+    target
+}
+
+/// The node beside a target forgets its crashes when it restarts; all others must still learn of them.
+#[test]
+fn crashes_outlive_announcements() {
+    let mut table = TargetTable::default();
+    table.merge(with_crashes(1, &[(10, 1), (20, 2)]), 0);
+    table.merge(with_crashes(2, &[]), 0);
+    let mut later = with_crashes(3, &[(30, 3)]);
+    later.set_state(TargetState::Gone);
+    table.merge(later, 0);
+    let ids = |table: &TargetTable| -> Vec<u64> {
+        let targets = table.changed_since(0);
+        targets.flat_map(|target| &target.crashes).map(|crash| crash.id).collect()
+    };
+    assert_eq!(ids(&table), [10, 20, 30]);
+    let many: Vec<(u64, u64)> = (100..200).map(|id| (id, id)).collect();
+    table.merge(with_crashes(4, &many), 0);
+    assert_eq!(ids(&table), (192..200).collect::<Vec<u64>>(), "the newest are kept");
+}
