Look at idle connections without renewing their time

The look for an open connection after a lost answer took one from the pool and put it back, which restarted its idle time; after several looks the target's own idle timeout could pass first, and the next call on it would be lost. Found by reading; no run shows it. The pool is only read now.

--- a/crates/daemon/src/node/pool.rs
+++ b/crates/daemon/src/node/pool.rs
@@ -97,10 +97,16 @@
         Some(PooledConnection { address, sender: entry.sender, idle_timeout: IDLE_TIMEOUT })
     }
 
+    /// Returns whether an idle connection to an address is open.
+    fn has_idle(&self, address: SocketAddr) -> bool {
+        let connections = self.0.borrow();
+        let mut idle = connections.idle.get(&address).into_iter().flatten();
+        idle.any(|entry| !entry.sender.is_closed() && entry.sender.is_ready())
+    }
+
     /// Returns whether an idle connection to an address is open, or a new one can be opened; the pool keeps that one.
     pub(crate) async fn check(&self, address: SocketAddr) -> bool {
-        if let Some(connection) = self.take(address) {
-            self.put_back(connection);
+        if self.has_idle(address) {
             return true;
         }
         match connect(address).await {
