--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -4,11 +4,11 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use kingcuplift_testing::{
-    PlaintextSite, ScriptedTarget, TargetBehavior, desk_configuration, put_revision, report_desk,
-    request,
+    PlaintextSite, ScriptedTarget, TargetBehavior, is_node_ready, report_desk, request,
+    start_desk_nodes, wall_ms,
 };
 use rstest::rstest;
 use serde_json::json;
@@ -34,16 +34,7 @@
     let delay = Duration::from_millis(20);
     let behavior = TargetBehavior::CrashOn { text: "/crash ", delay };
     let targets: Vec<_> = (0..TARGETS).map(|_| ScriptedTarget::start(behavior.clone())).collect();
-    let addresses: Vec<_> = targets.iter().map(ScriptedTarget::address).collect();
-    let site = PlaintextSite::start(3, &addresses);
-    assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
-    for (i, target) in targets.iter().enumerate() {
-        assert_eq!(report_desk(&site, &node(i), target, &json!({})).status, 200);
-        site.wait("a ready node", |site| {
-            let ready = request(&site.addresses(&node(i)).ready, "GET", "/readyz", "", "");
-            (ready.status == 200).then_some(())
-        });
-    }
+    let site = start_desk_nodes(&targets, &json!({}));
     (site, targets)
 }
 
@@ -51,12 +42,6 @@
     format!("node-{}", index % TARGETS + 1)
 }
 
-/// Returns the time in milliseconds since the Unix epoch.
-fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
-    u64::try_from(elapsed.as_millis()).expect("the time fits")
-}
-
 /// Sends a call and returns its status.
 fn call(site: &PlaintextSite, from: usize, method: &str, path: &str, id: &str, body: &str) -> u16 {
     let headers = format!("host: a.example\r\nx-call: {id}\r\nx-left: 1500\r\n");
@@ -93,10 +78,7 @@
     for (i, target) in targets.iter().enumerate() {
         site.kill(&node(i));
         site.start_process(&node(i));
-        site.wait("the restarted node", |site| {
-            let ready = request(&site.addresses(&node(i)).ready, "GET", "/readyz", "", "");
-            (ready.status == 200).then_some(())
-        });
+        site.wait("the restarted node", |site| is_node_ready(site, &node(i)).then_some(()));
         let report = json!({ "born": wall_ms() });
         assert_eq!(report_desk(site, &node(i), target, &report).status, 200);
         std::thread::sleep(REPORT_INTERVAL / 2);
--- a/crates/cli/tests/stated_load.rs
+++ b/crates/cli/tests/stated_load.rs
@@ -1,11 +1,11 @@
 //! Targets that state in their answers how many calls they take, or that they leave.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use kingcuplift_testing::{
-    PlaintextSite, ScriptedTarget, TargetBehavior, desk_configuration, put_revision, report_desk,
-    request,
+    PlaintextSite, ScriptedTarget, TargetBehavior, is_node_ready, report_desk, request,
+    start_desk_nodes, wall_ms,
 };
 use rstest::rstest;
 use serde_json::json;
@@ -28,13 +28,7 @@
 fn start_site() -> (PlaintextSite, Vec<ScriptedTarget>) {
     let behavior = TargetBehavior::Respond(Duration::from_millis(20));
     let targets: Vec<_> = (0..TARGETS).map(|_| ScriptedTarget::start(behavior.clone())).collect();
-    let addresses: Vec<_> = targets.iter().map(ScriptedTarget::address).collect();
-    let site = PlaintextSite::start(3, &addresses);
-    assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
-    for (i, target) in targets.iter().enumerate() {
-        assert_eq!(report_desk(&site, &node(i), target, &json!({ "slots": SLOTS })).status, 200);
-        site.wait("a ready node", |site| is_ready(site, &node(i)).then_some(()));
-    }
+    let site = start_desk_nodes(&targets, &json!({ "slots": SLOTS }));
     (site, targets)
 }
 
@@ -42,16 +36,6 @@
     format!("node-{}", index % TARGETS + 1)
 }
 
-fn is_ready(site: &PlaintextSite, node: &str) -> bool {
-    request(&site.addresses(node).ready, "GET", "/readyz", "", "").status == 200
-}
-
-/// Returns the time in milliseconds since the Unix epoch.
-fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
-    u64::try_from(elapsed.as_millis()).expect("the time fits")
-}
-
 /// Sends calls from all nodes for a while, with a report of each target each second; returns how many were answered.
 fn run_load(site: &PlaintextSite, targets: &[ScriptedTarget]) -> (usize, usize) {
     let (sent, answered) = (AtomicUsize::new(0), AtomicUsize::new(0));
@@ -123,7 +107,7 @@
     run_load(&site, &targets);
     site.kill("node-1");
     site.start_process("node-1");
-    site.wait("the restarted node", |site| is_ready(site, "node-1").then_some(()));
+    site.wait("the restarted node", |site| is_node_ready(site, "node-1").then_some(()));
     let restarted_at = Instant::now();
     run_load(&site, &targets);
     let (most, allowed) = most_calls(&targets[0], stated_at, limit);
--- a/crates/testing/src/desk.rs
+++ b/crates/testing/src/desk.rs
@@ -1,5 +1,7 @@
 //! A site with one service, `desk`, for tests of single calls.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use serde_json::{Value, json};
 
 use crate::plaintext_site::{PlaintextSite, RawResponse, request};
@@ -53,15 +55,33 @@
     request(&site.addresses(node).callers, method, path, &headers, "")
 }
 
+/// Returns whether a node is ready for calls.
+pub fn is_node_ready(site: &PlaintextSite, node: &str) -> bool {
+    request(&site.addresses(node).ready, "GET", "/readyz", "", "").status == 200
+}
+
+/// Starts a site with a node for each target, `node-1` and so on; `changes` replace fields of the targets' reports.
+pub fn start_desk_nodes(targets: &[ScriptedTarget], changes: &Value) -> PlaintextSite {
+    let addresses: Vec<_> = targets.iter().map(ScriptedTarget::address).collect();
+    let site = PlaintextSite::start(3, &addresses);
+    assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
+    for (i, target) in targets.iter().enumerate() {
+        let node = format!("node-{}", i + 1);
+        assert_eq!(report_desk(&site, &node, target, changes).status, 200);
+        site.wait("the first version", |site| is_node_ready(site, &node).then_some(()));
+    }
+    site
+}
+
 /// Starts a site with one target that serves calls.
 pub fn start_desk_site(behavior: TargetBehavior) -> (PlaintextSite, ScriptedTarget) {
     let target = ScriptedTarget::start(behavior);
-    let site = PlaintextSite::start(3, &[target.address()]);
-    assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
-    assert_eq!(report_desk(&site, "node-1", &target, &json!({})).status, 200);
-    site.wait("the first version", |site| {
-        let ready = request(&site.addresses("node-1").ready, "GET", "/readyz", "", "");
-        (ready.status == 200).then_some(())
-    });
+    let site = start_desk_nodes(std::slice::from_ref(&target), &json!({}));
     (site, target)
 }
+
+/// Returns the time in milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    u64::try_from(elapsed.as_millis()).expect("the time fits")
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -14,7 +14,10 @@
 mod soak;
 
 pub use cluster::{Cluster, ELECTION_TIMEOUT, member_id};
-pub use desk::{call_desk, desk_configuration, put_revision, report_desk, start_desk_site};
+pub use desk::{
+    call_desk, desk_configuration, is_node_ready, put_revision, report_desk, start_desk_nodes,
+    start_desk_site, wall_ms,
+};
 pub use disk::{DiskFault, FakeDisk};
 pub use plaintext_site::{
     NodeAddresses, PlaintextSite, ProxiedAddress, RawResponse, request, send_request,
