--- a/crates/daemon/src/node/admission.rs
+++ b/crates/daemon/src/node/admission.rs
@@ -20,9 +20,6 @@
 /// Maximum number of routes whose average service time is kept.
 const MAX_ROUTES: usize = 1_024;
 
-/// Calls that may run at a time until the target's first answer, which may state a limit or that the target leaves.
-const UNANSWERED_SLOTS: u32 = 2;
-
 /// Result that is sent to a queued call.
 type AdmissionResult = Result<(), ResultCode>;
 
@@ -53,8 +50,6 @@
     next_id: CallId,
     /// Average service times of routes at this target, in microseconds.
     average_us: HashMap<SmolStr, u64>,
-    /// Whether the target has answered a call.
-    is_answered: bool,
     /// Whether a task releases queued calls at the rate limit of a cold target.
     has_release_task: bool,
 }
@@ -106,17 +101,16 @@
     }
 
     fn new(limits: AdmissionLimits, slot_limit: SlotLimit) -> Self {
-        let mut state = State {
-            admission: Admission::new(limits),
+        let first = AdmissionLimits { slots: slot_limit.limit(), queue: limits.queue };
+        let state = State {
+            admission: Admission::new(first),
             slot_limit,
             queue_limit: limits.queue,
             waiters: HashMap::new(),
             next_id: 0,
             average_us: HashMap::new(),
-            is_answered: false,
             has_release_task: false,
         };
-        state.apply_slot_limit();
         Self { state: Mutex::new(state) }
     }
 
@@ -266,9 +260,6 @@
         if let Some((route, CallOutcome::Answered)) = &observed {
             state.record_service_time(route, time_us);
         }
-        if observed.as_ref().is_some_and(|(_, outcome)| *outcome != CallOutcome::Lost) {
-            state.set_answered();
-        }
         if let (SlotLimit::Adaptive(limit), Some((route, outcome))) =
             (&mut state.slot_limit, observed)
         {
@@ -324,18 +315,8 @@
 
     /// Applies the current limit on concurrent calls.
     fn apply_slot_limit(&mut self) {
-        let slots = match self.is_answered {
-            true => self.slot_limit.limit(),
-            false => self.slot_limit.limit().min(UNANSWERED_SLOTS),
-        };
-        self.admission.set_limits(AdmissionLimits { slots, queue: self.queue_limit });
-    }
-
-    /// Gives all slots to calls once the target has answered one.
-    fn set_answered(&mut self) {
-        if !std::mem::replace(&mut self.is_answered, true) {
-            self.apply_slot_limit();
-        }
+        let limits = AdmissionLimits { slots: self.slot_limit.limit(), queue: self.queue_limit };
+        self.admission.set_limits(limits);
     }
 
     /// Notifies queued calls of their results.
