Announce the limit that a target states, so that it outlives the node beside it (LIMIT)

The announcement of a target carries its limit; a node that starts takes it over for the same instance, until the first answer. RemoteMerge boxes the target, which has grown.

--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -197,6 +197,9 @@
         let mut inaccurate = Vec::new();
         for target in update.targets {
             let is_own = target.node == self.shared.name.as_str();
+            if is_own && self.is_adopting() {
+                self.restore_limit(&target);
+            }
             if is_own && self.check_known_target(&target) {
                 let known = self.incarnations.entry(TargetKey::of(&target)).or_default();
                 *known = (*known).max(target.incarnation);
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -37,6 +37,11 @@
 }
 
 impl NodeActor {
+    /// Returns whether the node has started so recently that it takes over what was announced of its targets before.
+    pub(super) fn is_adopting(&self) -> bool {
+        monotonic_ms() <= self.started_ms + ADOPTION_WINDOW_MS
+    }
+
     /// Starts a health check of a target that was known before the node's start, to adopt it if it still runs.
     ///
     /// Returns false for any other target.
@@ -48,7 +53,7 @@
         let is_known = self.leases.get(&key).is_some() || target.instance.is_empty();
         let is_gone = target.state() == TargetState::Gone;
         let Some(actor) = self.actor_address.clone() else { return false };
-        if is_known || is_gone || monotonic_ms() > self.started_ms + ADOPTION_WINDOW_MS {
+        if is_known || is_gone || !self.is_adopting() {
             return false;
         }
         let (shared, target) = (Arc::clone(&self.shared), target.clone());
@@ -132,6 +137,21 @@
         local_targets.get(key).map_or(0, |local| local.losses().announced())
     }
 
+    /// Returns the limit that a local target states.
+    fn stated_limit(&self, key: &TargetKey) -> Option<PerSecond> {
+        let local_targets = self.shared.local_targets.load();
+        local_targets.get(key).and_then(|local| local.stated().limit())
+    }
+
+    /// Restores the limit of a local target that was announced before this node's start.
+    pub(super) fn restore_limit(&self, target: &Target) {
+        let local_targets = self.shared.local_targets.load();
+        let local = local_targets.get(&TargetKey::of(target));
+        if let Some(local) = local.filter(|local| local.instance == target.instance) {
+            local.restore_limit(target.rate_limit.map(PerSecond::new));
+        }
+    }
+
     /// Announces the local targets whose fraction of lost answers has changed.
     pub(super) fn announce_losses(&mut self) {
         let now = monotonic_ms();
@@ -325,6 +345,9 @@
         let instance = report.map(|report| report.instance.clone()).unwrap_or_default();
         let local = Arc::new(LocalTarget::new(address, instance, admission));
         self.modify_local_targets(|targets| drop(targets.insert(key.clone(), Arc::clone(&local))));
+        if let Some(target) = self.table.get(key) {
+            self.restore_limit(target);
+        }
         local
     }
 
@@ -421,6 +444,7 @@
             cold_ms: self.remaining_warmup(key).as_millis() as u32,
             lost_permille: self.announced_losses(key),
             crashes: self.recent_crashes(key),
+            rate_limit: self.stated_limit(key).map(PerSecond::get),
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -54,8 +54,8 @@
 pub(crate) enum TargetChange {
     /// The target refuses connections.
     Down,
-    /// The target says in an answer that it is about to leave.
-    Leaving,
+    /// The target says in an answer that it is about to leave, or states another limit.
+    Stated,
 }
 
 /// Reports what calls to a target have shown.
@@ -186,7 +186,7 @@
     fn handle(&mut self, message: TargetChanged, _: &mut Self::Context) {
         match message.change {
             TargetChange::Down => self.mark_down(&message.key, &message.instance),
-            TargetChange::Leaving => self.republish_target(&message.key),
+            TargetChange::Stated => self.republish_target(&message.key),
         }
     }
 }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -260,11 +260,12 @@
         let limit = notice.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         Event::TargetLimited.emit(&[("target", key), ("limit", &limit)]);
         local.admission.set_stated_limit(notice.rate_limit);
+        report_change(worker, key, local, TargetChange::Stated);
     }
     if notice.is_leaving && !local.stated().set_leaving() {
         Event::TargetLeaving.emit(&[("target", key), ("instance", &local.instance)]);
         local.admission.close(QUEUE_GRACE);
-        report_change(worker, key, local, TargetChange::Leaving);
+        report_change(worker, key, local, TargetChange::Stated);
     }
 }
 
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kingcuplift_core::logger::LogRateLimiter;
 use kingcuplift_core::{
-    CallFingerprint, Event, NodeName, ResultCode, ServiceName, Version, ZoneName,
+    CallFingerprint, Event, NodeName, PerSecond, ResultCode, ServiceName, Version, ZoneName,
 };
 use kingcuplift_traffic::{
     CrashLog, LossMeter, Quarantine, RetryBudget, RetryLimits, RoutingView, StartupWindow,
@@ -64,6 +64,15 @@
         self.stated.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes over a limit that the target stated before this node's start, until its first answer.
+    pub(crate) fn restore_limit(&self, rate_limit: Option<PerSecond>) {
+        let mut stated = self.stated();
+        if rate_limit.is_some() && stated.limit().is_none() {
+            stated.set_limit(rate_limit, 0, monotonic_ms());
+            self.admission.set_stated_limit(rate_limit);
+        }
+    }
+
     /// Returns the meter of lost answers.
     pub(crate) fn losses(&self) -> MutexGuard<'_, LossMeter> {
         self.losses.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -172,7 +172,7 @@
         let mut contradicted = Vec::new();
         for target in targets {
             if let RemoteMerge::Contradicted(target) = self.targets.merge_remote(target, now) {
-                contradicted.push(target);
+                contradicted.push(*target);
             }
         }
         if self.targets.table().position() != before {
--- a/crates/traffic/src/registry.rs
+++ b/crates/traffic/src/registry.rs
@@ -26,7 +26,7 @@
     /// The announcement was merged.
     Merged(MergeResult),
     /// The announcement says that a target is gone that has a session here; this newer one overrides it.
-    Contradicted(Target),
+    Contradicted(Box<Target>),
 }
 
 /// Announced targets and their sessions.
@@ -75,7 +75,7 @@
             Some(mut known) if is_connected && target.state() == TargetState::Gone => {
                 known.incarnation = target.incarnation + 1;
                 self.table.merge(known.clone(), now_ms);
-                RemoteMerge::Contradicted(known)
+                RemoteMerge::Contradicted(Box::new(known))
             }
             _ => {
                 let is_present = target.state() != TargetState::Gone;
--- a/crates/traffic/src/stated_load.rs
+++ b/crates/traffic/src/stated_load.rs
@@ -25,6 +25,11 @@
         std::mem::replace(&mut self.limit, limit) != limit
     }
 
+    /// Returns the limit that the target states.
+    pub fn limit(&self) -> Option<PerSecond> {
+        self.limit
+    }
+
     /// Records that the target is about to leave, and returns whether it had said so before.
     pub fn set_leaving(&mut self) -> bool {
         std::mem::replace(&mut self.is_leaving, true)
--- a/crates/traffic/tests/target_registry.rs
+++ b/crates/traffic/tests/target_registry.rs
@@ -71,7 +71,7 @@
     let mut registry = TargetRegistry::new(GRACE_MS);
     registry.announce(1, ready("a", 5), 0);
     let merged = registry.merge_remote(target("a", 5, TargetState::Gone), 10);
-    assert_eq!(merged, RemoteMerge::Contradicted(ready("a", 6)));
+    assert_eq!(merged, RemoteMerge::Contradicted(Box::new(ready("a", 6))));
     assert_eq!(present(&registry), 1);
     registry.end_session(1, 20);
     let merged = registry.merge_remote(target("a", 6, TargetState::Gone), 30);
