Crash log: say that a crash is numbered by the time of day

Receivers count a crash's age from its number, but the comments called it a number that distinguishes crashes only, and the parameter new_id. Names and comments; no change of behaviour.

--- a/crates/traffic/src/crash_log.rs
+++ b/crates/traffic/src/crash_log.rs
@@ -36,7 +36,7 @@
 pub struct Crash {
     /// Service, version and node of the target.
     pub key: TargetKey,
-    /// Distinguishes the crashes of one node, also across its restarts.
+    /// Time of the crash, in microseconds since the Unix epoch; distinguishes the crashes of one node.
     pub id: u64,
     /// Fingerprints of the calls that the target ran.
     pub suspects: Vec<CallFingerprint>,
@@ -74,15 +74,15 @@
         }
     }
 
-    /// Returns the crashes whose suspects have become known; `new_id` numbers them, above all earlier ones.
-    pub fn poll(&mut self, new_id: u64, now_ms: u64) -> Vec<Crash> {
+    /// Returns the crashes whose suspects have become known; `wall_us` is the time of day and numbers them.
+    pub fn poll(&mut self, wall_us: u64, now_ms: u64) -> Vec<Crash> {
         self.crashes.retain(|crash| now_ms < crash.crashed_ms + CRASH_TTL_MS);
         let is_settled = |since: &u64| now_ms >= since + SETTLING_MS;
         let settled: Vec<(TargetKey, u64)> =
             self.down.extract_if(|_, since| is_settled(since)).collect();
         let mut changed = Vec::new();
         for (i, (key, since)) in settled.into_iter().enumerate() {
-            changed.extend(self.collect(key, since, new_id + i as u64));
+            changed.extend(self.collect(key, since, wall_us + i as u64));
         }
         changed
     }
