--- a/review/stand_ins/site.rs
+++ b/review/stand_ins/site.rs
@@ -659,6 +659,8 @@
     reports: Arc<AtomicBool>,
     is_up: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// End of the time in which the endpoint is cold.
+    warm_at: Arc<Mutex<Option<Instant>>>,
     record: Record,
 }
 
@@ -684,6 +686,7 @@
             reports: Arc::new(AtomicBool::new(true)),
             is_up: Arc::new(AtomicBool::new(true)),
             streams: Arc::default(),
+            warm_at: Arc::default(),
             record: site.record.clone(),
         };
         let answer: Arc<Answer> = Arc::new(answer);
@@ -785,8 +788,9 @@
             _ => "503 Service Unavailable",
         };
         let text = format!(
-            "HTTP/1.1 {status}\r\nkingcuplift-instance-id: {}\r\ncontent-length: 0\r\n\r\n",
-            self.id()
+            "HTTP/1.1 {status}\r\nkingcuplift-instance-id: {}\r\nkingcuplift-warmup-ms: {}\r\ncontent-length: 0\r\n\r\n",
+            self.id(),
+            self.warmup_ms()
         );
         stream.write_all(text.as_bytes()).is_ok()
     }
@@ -796,14 +800,34 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = *self.state.lock().unwrap();
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":17,"state":"{state}","warmup_ms":0,"sequence":{sequence},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":17,"state":"{state}","warmup_ms":{},"sequence":{sequence},"born":{}}}"#,
             self.service,
             self.address,
             self.zone,
+            self.warmup_ms(),
             self.born.load(Ordering::SeqCst)
         )
     }
 
+    /// Returns the body of a status report that lacks the field for the warm-up.
+    pub fn next_report_without_warmup(&self) -> String {
+        let report = self.next_report();
+        let (start, rest) = report.split_once(r#""warmup_ms":"#).expect("the field is there");
+        let (_, end) = rest.split_once(',').expect("another field follows");
+        format!("{start}{end}")
+    }
+
+    /// Sets the end of the time in which the endpoint is cold.
+    pub fn set_warm_at(&self, at: Instant) {
+        *self.warm_at.lock().unwrap() = Some(at);
+    }
+
+    /// Returns the time for which the endpoint stays cold, in steps of 50 ms.
+    fn warmup_ms(&self) -> u128 {
+        let warm_at = self.warm_at.lock().unwrap().unwrap_or_else(Instant::now);
+        warm_at.saturating_duration_since(Instant::now()).as_millis().div_ceil(50) * 50
+    }
+
     /// Sends a status report.
     pub fn send_report(&self, body: &str) -> u16 {
         let path = format!("/v1/instances/{}", self.id());
