--- a/review/stand_ins/site.rs
+++ b/review/stand_ins/site.rs
@@ -444,6 +444,15 @@
         self.running.insert(name.to_owned(), child);
     }
 
+    /// Empties the disk of a member that does not run; it starts as one that has lost its disk.
+    pub fn wipe_core(&mut self, number: usize) {
+        let machine = self.cores[number - 1].clone();
+        let data = self.folder.join(format!("data-{}", machine.name));
+        fs::remove_dir_all(&data).expect("the folder can be removed");
+        self.record.line(format!("the disk of {} is lost", machine.name));
+        self.write_core_settings(&machine, false);
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: &str) {
         self.record.line(format!("SIG{signal} to {name}"));
@@ -560,6 +569,31 @@
         last
     }
 
+    /// Sends an order of the operator to one member, and follows redirects.
+    pub fn order_once(&self, core: usize, method: &str, path: &str, headers: &str, body: &str) -> Response {
+        let mut address = self.operator(core);
+        for _redirect in 0..3 {
+            let time = Duration::from_secs(2);
+            let response = request(&address, method, path, headers, body.as_bytes(), time);
+            match response.header("location") {
+                Some(location) if response.status == 307 => {
+                    let url = location.trim_start_matches("http://");
+                    address = url.split('/').next().unwrap_or_default().to_owned();
+                }
+                _ => return response,
+            }
+        }
+        Response::default()
+    }
+
+    /// Returns the resident memory of a process in KiB; 0 if it does not run.
+    pub fn resident_kb(&self, name: &str) -> u64 {
+        let Some(child) = self.running.get(name) else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// Puts a configuration in place; `routes` and `services` are JSON objects.
     pub fn configure(&mut self, after: u64, version: u64, services: &str, routes: &str) {
         let limits =
