--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/many_changes ] || exit 2
-exec target/review/many_changes review/3
+[ -x target/review/slow_version ] || exit 2
+exec target/review/slow_version review/3
--- a/review/stand_ins/site.rs
+++ b/review/stand_ins/site.rs
@@ -693,6 +693,8 @@
     reports: Arc<AtomicBool>,
     is_up: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Version of its software.
+    version: Arc<Mutex<&'static str>>,
     /// End of the time in which the endpoint is cold.
     warm_at: Arc<Mutex<Option<Instant>>>,
     record: Record,
@@ -720,6 +722,7 @@
             reports: Arc::new(AtomicBool::new(true)),
             is_up: Arc::new(AtomicBool::new(true)),
             streams: Arc::default(),
+            version: Arc::new(Mutex::new("v1")),
             warm_at: Arc::default(),
             record: site.record.clone(),
         };
@@ -834,10 +837,11 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = *self.state.lock().unwrap();
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":17,"state":"{state}","warmup_ms":{},"sequence":{sequence},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{}","slots":17,"state":"{state}","warmup_ms":{},"sequence":{sequence},"born":{}}}"#,
             self.service,
             self.address,
             self.zone,
+            self.version.lock().unwrap(),
             self.warmup_ms(),
             self.born.load(Ordering::SeqCst)
         )
@@ -851,6 +855,11 @@
         format!("{start}{end}")
     }
 
+    /// Sets the version of the endpoint's software; v1 unless set.
+    pub fn set_version(&self, version: &'static str) {
+        *self.version.lock().unwrap() = version;
+    }
+
     /// Sets the end of the time in which the endpoint is cold.
     pub fn set_warm_at(&self, at: Instant) {
         *self.warm_at.lock().unwrap() = Some(at);
