--- a/review/stand_ins/crash_midway.rs
+++ b/review/stand_ins/crash_midway.rs
@@ -81,6 +81,7 @@
         let (record, address) = (site.record.clone(), site.outbound(number % NODES + 1));
         sent.push((Instant::now(), id.clone()));
         threads.push(thread::spawn(move || {
+            record.line(format!("caller sends {id} to {address}"));
             let headers = caller_headers(&id, CALLER_TIME);
             let response =
                 site::request(&address, "GET", "/recordings/bad", &headers, b"", CALLER_TIME);
--- a/review/stand_ins/late_report.rs
+++ b/review/stand_ins/late_report.rs
@@ -69,9 +69,10 @@
                 let id = format!("{number:016x}");
                 let headers = caller_headers(&id, CALLER_TIME);
                 let path = format!("/catalogue/{number}");
+                record.line(format!("caller sends {id} to {address}"));
                 let response = site::request(&address, "GET", &path, &headers, b"", CALLER_TIME);
+                record.line(format!("caller of {id} at {address} gets {}", response.status));
                 if response.status != 200 {
-                    record.line(format!("caller of {id} at {address} gets {}", response.status));
                     thread::sleep(Duration::from_millis(300));
                 }
                 thread::sleep(Duration::from_millis(40));
--- a/review/stand_ins/slow_version.rs
+++ b/review/stand_ins/slow_version.rs
@@ -41,7 +41,7 @@
 
 fn start_endpoint(site: &Site, sidecar: usize, arrivals: &Arc<Mutex<Vec<Arrival>>>) -> Endpoint {
     let is_new = sidecar > OLD;
-    let (arrivals, number) = (Arc::clone(arrivals), AtomicU64::new(0));
+    let (arrivals, number, record) = (Arc::clone(arrivals), AtomicU64::new(0), site.record.clone());
     let id = format!("i-{sidecar}");
     let endpoint = Endpoint::start(site, sidecar, &id.clone(), "lessons", move |received, stream| {
         let arrived_at = Instant::now();
@@ -49,6 +49,8 @@
         // Half of the requests to a bad version are slow.
         let is_slow = is_new && has_trouble() && number.fetch_add(1, Ordering::SeqCst) % 2 == 1;
         arrivals.lock().unwrap().push((arrived_at, is_new, is_slow));
+        let version = if is_new { "v2" } else { "v1" };
+        record.line(format!("{id} ({version}) runs {call}{}", if is_slow { ", slowly" } else { "" }));
         let work = if is_slow { WORK * SLOWER } else { WORK };
         let stated = received.header("kingcuplift-deadline-ms").and_then(|text| text.parse().ok());
         let limit = Duration::from_millis(stated.unwrap_or(60_000));
@@ -93,13 +95,17 @@
 
     let answers: Arc<Mutex<Vec<(Instant, u16)>>> = Arc::default();
     let addresses: Vec<String> = (1..=OLD + NEW).map(|sidecar| site.outbound(sidecar)).collect();
+    let record = site.record.clone();
     let send = |number: usize| {
         let (answers, address) = (Arc::clone(&answers), addresses[number % addresses.len()].clone());
+        let record = record.clone();
         thread::spawn(move || {
             let id = format!("{number:016x}");
+            record.line(format!("caller sends {id} to {address}"));
             let headers = caller_headers(&id, CALLER_TIME);
             let path = format!("/slots/{id}");
             let response = site::request(&address, "GET", &path, &headers, b"", CALLER_TIME);
+            record.line(format!("caller of {id} gets {}", response.status));
             answers.lock().unwrap().push((Instant::now(), response.status));
         });
     };
