--- a/review/stand_ins/crash_midway.rs
+++ b/review/stand_ins/crash_midway.rs
@@ -43,8 +43,12 @@
             (Arc::clone(&crashes), Arc::clone(&arrivals), site.record.clone());
         let own: Arc<OnceLock<Endpoint>> = Arc::default();
         let this = Arc::clone(&own);
-        let endpoint =
-            Endpoint::start(&site, sidecar, &format!("i-{sidecar}"), "lessons", move |received, stream| {
+        let endpoint = Endpoint::start(
+            &site,
+            sidecar,
+            &format!("i-{sidecar}"),
+            "lessons",
+            move |received, stream| {
                 let Some(endpoint) = this.get() else { return false };
                 let call = received.id();
                 let framing = format!("content-length: {ANSWER_BYTES}\r\n");
@@ -65,7 +69,8 @@
                 }
                 let sent = stream.write_all(head.as_bytes());
                 sent.and_then(|()| stream.write_all(&vec![b'a'; ANSWER_BYTES])).is_ok()
-            });
+            },
+        );
         endpoint.report_regularly();
         let _set = own.set(endpoint);
         site.wait_ready(sidecar);
--- a/review/stand_ins/long_answer.rs
+++ b/review/stand_ins/long_answer.rs
@@ -37,23 +37,26 @@
     for sidecar in 1..=2 {
         let record = site.record.clone();
         let id = format!("i-{sidecar}");
-        let endpoint = Endpoint::start(&site, sidecar, &id.clone(), "lessons", move |received, stream| {
-            let call = received.id();
-            record.line(format!("{id} runs {call}"));
-            let framing = format!("content-length: {ANSWER_BYTES}\r\n");
-            let head = success_head(received, &format!("{id}.{call}"), &framing);
-            let piece = vec![b'a'; ANSWER_BYTES / PIECES];
-            let mut result = stream.write_all(head.as_bytes());
-            for _ in 0..PIECES {
-                thread::sleep(PIECE_PAUSE);
-                result = result.and_then(|()| stream.write_all(&piece));
-            }
-            match &result {
-                Ok(()) => record.line(format!("{id} has sent the whole answer to {call}")),
-                Err(error) => record.line(format!("{id} can't send the answer to {call}: {error}")),
-            }
-            result.is_ok()
-        });
+        let endpoint =
+            Endpoint::start(&site, sidecar, &id.clone(), "lessons", move |received, stream| {
+                let call = received.id();
+                record.line(format!("{id} runs {call}"));
+                let framing = format!("content-length: {ANSWER_BYTES}\r\n");
+                let head = success_head(received, &format!("{id}.{call}"), &framing);
+                let piece = vec![b'a'; ANSWER_BYTES / PIECES];
+                let mut result = stream.write_all(head.as_bytes());
+                for _ in 0..PIECES {
+                    thread::sleep(PIECE_PAUSE);
+                    result = result.and_then(|()| stream.write_all(&piece));
+                }
+                match &result {
+                    Ok(()) => record.line(format!("{id} has sent the whole answer to {call}")),
+                    Err(error) => {
+                        record.line(format!("{id} can't send the answer to {call}: {error}"))
+                    }
+                }
+                result.is_ok()
+            });
         endpoint.report_regularly();
         site.wait_ready(sidecar);
     }
@@ -95,7 +98,9 @@
     ));
     let whole = responses
         .iter()
-        .filter(|response| response.status == 200 && response.is_whole && response.body.len() == ANSWER_BYTES)
+        .filter(|response| {
+            response.status == 200 && response.is_whole && response.body.len() == ANSWER_BYTES
+        })
         .count();
     match whole {
         CALLS => site.stop(HELD, "every caller got its whole answer"),
--- a/review/stand_ins/many_changes.rs
+++ b/review/stand_ins/many_changes.rs
@@ -105,8 +105,9 @@
         match response.status {
             200..300 => {
                 if version <= 2 || version % 25 == 0 {
-                    let used: Vec<u64> =
-                        (1..=CORES).map(|i| site.resident_kb(&format!("core-{i}")) / 1_024).collect();
+                    let used: Vec<u64> = (1..=CORES)
+                        .map(|i| site.resident_kb(&format!("core-{i}")) / 1_024)
+                        .collect();
                     let node = site.resident_kb("sidecar-1") / 1_024;
                     site.record.line(format!("version {version} is acknowledged; {routes} routes; MB in use: {used:?}, by the node {node}"));
                 }
--- a/review/stand_ins/odd_report.rs
+++ b/review/stand_ins/odd_report.rs
@@ -44,18 +44,19 @@
     let id = format!("i-{sidecar}");
     let arrivals = Arc::clone(arrivals);
     let running = Arc::new(AtomicU64::new(0));
-    let endpoint = Endpoint::start(site, sidecar, &id.clone(), "lessons", move |received, stream| {
-        arrivals.lock().unwrap().push(Instant::now());
-        while running.fetch_add(1, Ordering::SeqCst) >= SLOTS as u64 {
+    let endpoint =
+        Endpoint::start(site, sidecar, &id.clone(), "lessons", move |received, stream| {
+            arrivals.lock().unwrap().push(Instant::now());
+            while running.fetch_add(1, Ordering::SeqCst) >= SLOTS as u64 {
+                running.fetch_sub(1, Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(2));
+            }
+            thread::sleep(if Instant::now() < warm_at { COLD_WORK } else { WARM_WORK });
             running.fetch_sub(1, Ordering::SeqCst);
-            thread::sleep(Duration::from_millis(2));
-        }
-        thread::sleep(if Instant::now() < warm_at { COLD_WORK } else { WARM_WORK });
-        running.fetch_sub(1, Ordering::SeqCst);
-        let call = received.id();
-        let head = success_head(received, &format!("{id}.{call}"), "content-length: 5\r\n");
-        stream.write_all(format!("{head}hello").as_bytes()).is_ok()
-    });
+            let call = received.id();
+            let head = success_head(received, &format!("{id}.{call}"), "content-length: 5\r\n");
+            stream.write_all(format!("{head}hello").as_bytes()).is_ok()
+        });
     endpoint.set_warm_at(warm_at);
     endpoint
 }
@@ -101,7 +102,8 @@
     if has_trouble() {
         let odd = cold.next_report_without_warmup();
         let status = cold.send_report(&odd);
-        site.record.line(format!("a report of another writer without a field arrives, {status}: {odd}"));
+        site.record
+            .line(format!("a report of another writer without a field arrives, {status}: {odd}"));
     }
     thread::sleep(Duration::from_millis(900));
     cold.report_regularly();
--- a/review/stand_ins/site.rs
+++ b/review/stand_ins/site.rs
@@ -132,7 +132,8 @@
     headers: &[(String, String)],
     ends_with_connection: bool,
 ) -> (Vec<u8>, bool) {
-    let is_chunked = find(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let is_chunked =
+        find(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked"));
     let length = find(headers, "content-length").and_then(|value| value.parse::<usize>().ok());
     match (is_chunked, length) {
         (true, _) => read_chunks(stream, buffer),
@@ -286,10 +287,28 @@
 /// Process ids of the running processes, to end them if the case itself is cut short.
 static PROCESS_IDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process that the case has started; returns whether it was sent.
+fn send_signal(process_id: u32, signal: &str) -> bool {
+    unsafe extern "C" {
+        fn kill(process_id: i32, signal: i32) -> i32;
+    }
+    // The numbers are the same on x86-64 and arm64.
+    let number = match signal {
+        "KILL" => 9,
+        "TERM" => 15,
+        "CONT" => 18,
+        "STOP" => 19,
+        _ => panic!("unknown signal {signal}"),
+    };
+    let Ok(process_id) = i32::try_from(process_id) else { return false };
+    // SAFETY: `kill` of the C library takes two numbers and touches no memory of this process.
+    unsafe { kill(process_id, number) == 0 }
+}
+
 /// Ends all processes that the case has started and that may still run.
 fn kill_all() {
     for id in PROCESS_IDS.lock().unwrap().drain(..) {
-        let _status = Command::new("kill").args(["-KILL", &id.to_string()]).stderr(Stdio::null()).status();
+        send_signal(id, "KILL");
     }
 }
 
@@ -346,7 +365,8 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds = self.cores.iter().take(3).map(|core| format!("\"{}:{}\"", core.ip, PORTS.admin));
+        let seeds =
+            self.cores.iter().take(3).map(|core| format!("\"{}:{}\"", core.ip, PORTS.admin));
         format!("[{}]", seeds.collect::<Vec<_>>().join(","))
     }
 
@@ -456,9 +476,7 @@
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: &str) {
         self.record.line(format!("SIG{signal} to {name}"));
-        let pid = self.running[name].id().to_string();
-        let status = Command::new("kill").arg(format!("-{signal}")).arg(&pid).status();
-        assert!(status.is_ok_and(|status| status.success()), "the signal can be sent");
+        assert!(send_signal(self.running[name].id(), signal), "the signal can be sent");
     }
 
     /// Waits until a process has ended; returns false if it runs longer.
@@ -570,7 +588,14 @@
     }
 
     /// Sends an order of the operator to one member, and follows redirects.
-    pub fn order_once(&self, core: usize, method: &str, path: &str, headers: &str, body: &str) -> Response {
+    pub fn order_once(
+        &self,
+        core: usize,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> Response {
         let mut address = self.operator(core);
         for _redirect in 0..3 {
             let time = Duration::from_secs(2);
@@ -602,9 +627,12 @@
             r#"{{"version":{version},"services":{services},"routes":{routes},"limits":{limits}}}"#
         );
         let headers = format!("if-match: {after}\r\ncontent-type: application/json\r\n");
-        let response =
-            self.order("PUT", "/v1/revision", &headers, &body, Duration::from_secs(20));
-        self.record.line(format!("configuration {version}: {} {}", response.status, response.text()));
+        let response = self.order("PUT", "/v1/revision", &headers, &body, Duration::from_secs(20));
+        self.record.line(format!(
+            "configuration {version}: {} {}",
+            response.status,
+            response.text()
+        ));
         if !(200..300).contains(&response.status) {
             self.stop(NOT_RUN, "the configuration is not accepted");
         }
@@ -946,4 +974,5 @@
     }
 }
 
-pub const SERVICES: &str = r#"{"lessons":{"health":"/health","connections":120,"protocol":"h1","tls":false}}"#;
+pub const SERVICES: &str =
+    r#"{"lessons":{"health":"/health","connections":120,"protocol":"h1","tls":false}}"#;
--- a/review/stand_ins/slow_version.rs
+++ b/review/stand_ins/slow_version.rs
@@ -10,7 +10,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use site::{BROKEN, Endpoint, HELD, NOT_RUN, SERVICES, Site, caller_headers, has_trouble, success_head};
+use site::{
+    BROKEN, Endpoint, HELD, NOT_RUN, SERVICES, Site, caller_headers, has_trouble, success_head,
+};
 
 /// Work on a request, and how many times as long the slow ones of the bad version take.
 const WORK: Duration = Duration::from_millis(150);
@@ -43,31 +45,36 @@
     let is_new = sidecar > OLD;
     let (arrivals, number, record) = (Arc::clone(arrivals), AtomicU64::new(0), site.record.clone());
     let id = format!("i-{sidecar}");
-    let endpoint = Endpoint::start(site, sidecar, &id.clone(), "lessons", move |received, stream| {
-        let arrived_at = Instant::now();
-        let call = received.id();
-        // Half of the requests to a bad version are slow.
-        let is_slow = is_new && has_trouble() && number.fetch_add(1, Ordering::SeqCst) % 2 == 1;
-        arrivals.lock().unwrap().push((arrived_at, is_new, is_slow));
-        let version = if is_new { "v2" } else { "v1" };
-        record.line(format!("{id} ({version}) runs {call}{}", if is_slow { ", slowly" } else { "" }));
-        let work = if is_slow { WORK * SLOWER } else { WORK };
-        let stated = received.header("kingcuplift-deadline-ms").and_then(|text| text.parse().ok());
-        let limit = Duration::from_millis(stated.unwrap_or(60_000));
-        if work > limit {
-            // It stops work at the time limit that it received, and says so.
-            let until = arrived_at + limit + WRITE_TIME;
-            thread::sleep(until.saturating_duration_since(Instant::now()));
-            let text = format!(
-                "HTTP/1.1 504 Gateway Timeout\r\nkingcuplift-attempt-id: {call}\r\n\
+    let endpoint =
+        Endpoint::start(site, sidecar, &id.clone(), "lessons", move |received, stream| {
+            let arrived_at = Instant::now();
+            let call = received.id();
+            // Half of the requests to a bad version are slow.
+            let is_slow = is_new && has_trouble() && number.fetch_add(1, Ordering::SeqCst) % 2 == 1;
+            arrivals.lock().unwrap().push((arrived_at, is_new, is_slow));
+            let version = if is_new { "v2" } else { "v1" };
+            record.line(format!(
+                "{id} ({version}) runs {call}{}",
+                if is_slow { ", slowly" } else { "" }
+            ));
+            let work = if is_slow { WORK * SLOWER } else { WORK };
+            let stated =
+                received.header("kingcuplift-deadline-ms").and_then(|text| text.parse().ok());
+            let limit = Duration::from_millis(stated.unwrap_or(60_000));
+            if work > limit {
+                // It stops work at the time limit that it received, and says so.
+                let until = arrived_at + limit + WRITE_TIME;
+                thread::sleep(until.saturating_duration_since(Instant::now()));
+                let text = format!(
+                    "HTTP/1.1 504 Gateway Timeout\r\nkingcuplift-attempt-id: {call}\r\n\
                  kingcuplift-response-seal: {id}.{call}\r\ncontent-length: 0\r\n\r\n"
-            );
-            return stream.write_all(text.as_bytes()).is_ok();
-        }
-        thread::sleep(work);
-        let head = success_head(received, &format!("{id}.{call}"), "content-length: 5\r\n");
-        stream.write_all(format!("{head}hello").as_bytes()).is_ok()
-    });
+                );
+                return stream.write_all(text.as_bytes()).is_ok();
+            }
+            thread::sleep(work);
+            let head = success_head(received, &format!("{id}.{call}"), "content-length: 5\r\n");
+            stream.write_all(format!("{head}hello").as_bytes()).is_ok()
+        });
     if is_new {
         endpoint.set_version("v2");
     }
@@ -97,7 +104,8 @@
     let addresses: Vec<String> = (1..=OLD + NEW).map(|sidecar| site.outbound(sidecar)).collect();
     let record = site.record.clone();
     let send = |number: usize| {
-        let (answers, address) = (Arc::clone(&answers), addresses[number % addresses.len()].clone());
+        let (answers, address) =
+            (Arc::clone(&answers), addresses[number % addresses.len()].clone());
         let record = record.clone();
         thread::spawn(move || {
             let id = format!("{number:016x}");
@@ -142,10 +150,8 @@
     site.record.line(format!("at the end: {}", response.text()));
 
     let arrivals = arrivals.lock().unwrap().clone();
-    let in_time: Vec<&Arrival> = arrivals
-        .iter()
-        .filter(|(at, ..)| *at >= ordered_at && *at < ordered_at + RAMP)
-        .collect();
+    let in_time: Vec<&Arrival> =
+        arrivals.iter().filter(|(at, ..)| *at >= ordered_at && *at < ordered_at + RAMP).collect();
     let exposed = in_time.iter().filter(|(_, is_new, _)| *is_new).count();
     let bad = in_time.iter().filter(|(.., is_bad)| *is_bad).count();
     let allowed = EXPOSE_SHARE * in_time.len() as f64 + EXPOSE_SLACK;
@@ -155,7 +161,8 @@
         in_time.len(), count(200), count(504)
     ));
     match (has_trouble(), exposed as f64 > allowed) {
-        (true, true) => site.stop(BROKEN, &format!("a bad version got {exposed} requests, {allowed:.0} allowed")),
+        (true, true) => site
+            .stop(BROKEN, &format!("a bad version got {exposed} requests, {allowed:.0} allowed")),
         (true, false) => site.stop(HELD, "the bad version got few requests"),
         (false, _) if is_completed => site.stop(HELD, "the good version is in place"),
         (false, _) => site.stop(NOT_RUN, "the good version is not in place"),
