--- /dev/null
+++ b/crates/cli/tests/refused_writes.rs
@@ -0,0 +1,39 @@
+//! Source members whose disks refuse writes for a while, with real processes.
+
+use std::time::Duration;
+
+use kingcuplift_testing::PlaintextSite;
+use serde_json::{Value, json};
+
+/// Time for which a disk refuses writes.
+const REFUSAL_TIME: Duration = Duration::from_secs(3);
+
+/// Submits a version, sending the same operation again until it is accepted, and returns its number.
+fn submit(site: &PlaintextSite, base: u64) -> Value {
+    let patch = json!({ "services": { "desk": { "slots": base + 1 } } });
+    let body = json!({ "base": base, "patch": patch }).to_string();
+    let operation = format!("idempotency-key: slots-{base}\r\n");
+    let response = site.operator_request("POST", "/v1/versions", &operation, &body);
+    response.json()["version"].clone()
+}
+
+/// Each member that failed a write stayed out of the group for good, so that the third one took the majority along.
+#[test]
+fn full_disks_in_turn() {
+    let site = PlaintextSite::start(3, &[]);
+    for base in [0, 2, 4] {
+        assert_eq!(submit(&site, base), base + 1);
+        let leader = site.wait("a leader", PlaintextSite::leader);
+        let name = format!("core-{leader}");
+        site.refuse_writes(&name, true);
+        assert_eq!(submit(&site, base + 1), base + 2, "the other members accept the version");
+        std::thread::sleep(REFUSAL_TIME);
+        site.refuse_writes(&name, false);
+        site.wait("the recovery of the folder", |site| {
+            site.log(&name).contains("StorageRecovered").then_some(())
+        });
+    }
+    assert_eq!(submit(&site, 6), 7);
+    let stored = site.operator_request("GET", "/v1/config", "", "").json();
+    assert_eq!(stored["services"]["desk"]["slots"], 7);
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -97,7 +97,7 @@
     LogRecovered = 106, Info;
     /// An incomplete record at the end of the log was truncated.
     TailTruncated = 107, Warn;
-    /// Writing or syncing the log failed.
+    /// Reading or writing the data folder failed; the member takes part again once the folder is recovered.
     StorageFailed = 108, Error;
     /// A snapshot of the source's state was written.
     SnapshotWritten = 109, Info;
@@ -109,6 +109,8 @@
     DiskRefused = 112, Error;
     /// The leader started an automatic membership change.
     MembersPlaced = 113, Info;
+    /// The data folder can be written again; the member takes part in the group with what it contains.
+    StorageRecovered = 114, Info;
     /// A move advanced by a step, was completed or was rolled back.
     MoveStepped = 116, Info;
     /// A connection to a peer was established.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -32,6 +32,8 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for a management server to finish its responses.
 const SERVER_STOP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Number of `SIGXFSZ` on Linux.
+const FILE_SIZE_SIGNAL: i32 = 25;
 /// Time for another member to take over leadership.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -226,6 +228,8 @@
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
+    /// Held so that a write beyond the limit on file sizes fails; by default, it would end the process.
+    _file_size: Signal,
 }
 
 impl Signals {
@@ -234,6 +238,7 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             hangup: signal(SignalKind::hangup())?,
+            _file_size: signal(SignalKind::from_raw(FILE_SIZE_SIGNAL))?,
         })
     }
 }
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -10,8 +10,8 @@
 use kingcuplift_core::{Event, MemberId, NodeName, ResultCode};
 use kingcuplift_quorum::{
     DiskFolder, Effect, Event as Input, Formation, Identity, InitialMembers, MembershipController,
-    MembershipExt, Millis, Notice, Record, Refusal, Replica, Restored, RoleName, Store, Timing,
-    Token,
+    MembershipExt, Millis, Notice, Record, Recovery, Refusal, Replica, Restored, RoleName, Store,
+    StoreError, Timing, Token,
 };
 use kingcuplift_schema::Message as _;
 use kingcuplift_schema::quorum::{Entry, Peer, Snapshot, Voter, entry, peer};
@@ -28,7 +28,7 @@
 use crate::source::moves::{MOVE_CHECK_INTERVAL, MoveController};
 use crate::source::relays::Relays;
 use crate::source::response::Response;
-use crate::source::writer::{self, Job, Written};
+use crate::source::writer::{self, Job, StorageReport};
 use crate::upstream::UpstreamAddresses;
 
 /// Ticks of the replica per election timeout.
@@ -49,10 +49,25 @@
     Forming(Formation),
     /// The member belongs to a group.
     Member(Box<Replica>),
-    /// Storage has failed; the member no longer takes part in the group.
+    /// A write has failed; the member takes no part in the group until its data folder is recovered.
     Failed,
 }
 
+impl Stage {
+    /// Returns the stage of a member whose data folder contains this state.
+    fn restored(
+        identity: Identity,
+        options: &SourceOptions,
+        local_voter: &Voter,
+        restored: Restored,
+    ) -> Self {
+        match restored.snapshot.membership {
+            Some(_) => Self::Member(new_replica(identity, options, restored)),
+            None => Self::Forming(Formation::new(local_voter.clone(), initial_members(options))),
+        }
+    }
+}
+
 /// Actor of the source role.
 #[derive(Debug)]
 pub(crate) struct SourceActor {
@@ -108,10 +123,7 @@
         let catalog = Catalog::decode(&recovery.restored.snapshot.state)?;
         let identity = recovery.identity;
         let local_voter = membership_entry(identity, &options);
-        let stage = match recovery.restored.snapshot.membership {
-            Some(_) => Stage::Member(new_replica(identity, &options, recovery.restored)),
-            None => Stage::Forming(Formation::new(local_voter.clone(), initial_members(&options))),
-        };
+        let stage = Stage::restored(identity, &options, &local_voter, recovery.restored);
         Ok(Self {
             options,
             name,
@@ -359,6 +371,46 @@
         }
     }
 
+    /// Starts the storage thread of a member that has none.
+    fn start_writer(&mut self, ctx: &Context<Self>) {
+        let is_member = matches!(self.stage, Stage::Member(_));
+        match (self.store.take(), is_member) {
+            (Some(store), true) => {
+                self.writer = Some(writer::start(store, ctx.address().recipient()));
+            }
+            (store, _) => self.store = store,
+        }
+    }
+
+    /// Leaves the group until the data folder is recovered.
+    fn suspend(&mut self, error: &StoreError) {
+        Event::StorageFailed.emit(&[("reason", error)]);
+        self.stage = Stage::Failed;
+        self.writer = None;
+        self.relays.disconnect_all();
+        self.moves.clear();
+        self.hint_local_relay();
+        for (_, sender) in self.pending_responses.drain() {
+            let detail = "the member's storage has failed; try another member";
+            drop(sender.send(Response::problem(ResultCode::LeadershipLost, detail)));
+        }
+    }
+
+    /// Takes part in the group again, with the state that the data folder contains, as after a restart.
+    fn resume(&mut self, store: Store<DiskFolder>, recovery: Recovery) {
+        let catalog = match Catalog::decode(&recovery.restored.snapshot.state) {
+            Ok(catalog) => catalog,
+            Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
+        };
+        let (entries, bytes) = (recovery.restored.entries.len(), recovery.truncated);
+        Event::StorageRecovered.emit(&[("entries", &entries), ("truncated", &bytes)]);
+        self.catalog = catalog;
+        self.last_snapshot_index = 0;
+        self.store = Some(store);
+        let restored = recovery.restored;
+        self.stage = Stage::restored(self.identity, &self.options, &self.local_voter, restored);
+    }
+
     fn take_snapshot(&mut self) {
         let Stage::Member(replica) = &self.stage else { return };
         let start = replica.log().snapshot().index.max(self.last_snapshot_index);
@@ -391,13 +443,7 @@
         ctx.run_interval(
             self.options.election_timeout / TICKS_PER_ELECTION_TIMEOUT,
             |actor, ctx| {
-                let is_member = matches!(actor.stage, Stage::Member(_));
-                match (actor.store.take(), is_member) {
-                    (Some(store), true) => {
-                        actor.writer = Some(writer::start(store, ctx.address().recipient()));
-                    }
-                    (store, _) => actor.store = store,
-                }
+                actor.start_writer(ctx);
                 actor.tick();
             },
         );
@@ -449,20 +495,17 @@
     }
 }
 
-impl Handler<Written> for SourceActor {
+impl Handler<StorageReport> for SourceActor {
     type Result = ();
 
-    fn handle(&mut self, written: Written, _: &mut Self::Context) {
-        match written.0 {
-            Ok(seq) => self.step(Input::Stored(seq)),
-            Err(error) => {
-                Event::StorageFailed.emit(&[("reason", &error)]);
-                self.stage = Stage::Failed;
-                self.relays.disconnect_all();
-                for (_, sender) in self.pending_responses.drain() {
-                    let detail = "the member's storage has failed; try another member";
-                    drop(sender.send(Response::problem(ResultCode::LeadershipLost, detail)));
-                }
+    fn handle(&mut self, report: StorageReport, ctx: &mut Self::Context) {
+        match report {
+            StorageReport::Written(seq) => self.step(Input::Stored(seq)),
+            StorageReport::Failed(error) => self.suspend(&error),
+            StorageReport::Recovered(recovered) => {
+                let (store, recovery) = *recovered;
+                self.resume(store, recovery);
+                self.start_writer(ctx);
             }
         }
     }
--- a/crates/daemon/src/source/forming.rs
+++ b/crates/daemon/src/source/forming.rs
@@ -51,9 +51,8 @@
         let snapshot = Snapshot { membership: Some(membership), ..Snapshot::default() };
         let Some(store) = &mut self.store else { return };
         if let Err(error) = store.save_snapshot(&snapshot) {
-            Event::StorageFailed.emit(&[("reason", &error)]);
-            self.stage = Stage::Failed;
-            return;
+            // The member stays in its present stage; the offers that it goes on sending lead here again.
+            return Event::StorageFailed.emit(&[("reason", &error)]);
         }
         Event::GroupFormed.emit(&[("member", &self.identity.id)]);
         let restored = Restored { snapshot, ..Restored::default() };
--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -154,11 +154,42 @@
             snapshot_index: 0,
         };
         let identity = store.open_identity(owner, new_disk)?;
-        let snapshot = store.read_snapshot()?;
-        let (entries, truncated) = store.read_segments(&snapshot)?;
-        let hard_state = store.hard_state;
-        let restored = Restored { hard_state, snapshot, entries };
-        Ok((store, Recovery { identity, restored, truncated }))
+        let recovery = store.read_all(identity)?;
+        Ok((store, recovery))
+    }
+
+    /// Reads the state again after a failed write, and makes all of it durable.
+    ///
+    /// After a failed sync, the operating system may return data that never reached the disk and report the next sync
+    /// of the same file as successful. The end of the log is therefore written to a new file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error while the folder can't be read or written; the call may be repeated.
+    pub fn recover(&mut self) -> Result<Recovery, StoreError> {
+        self.segments.clear();
+        self.segment_size = 0;
+        self.last_checksum = 0;
+        self.hard_state = HardState::default();
+        self.snapshot_index = 0;
+        let bytes = self.read(IDENTITY_FILE)?;
+        let identity = decode_single_frame::<DiskIdentity>(IDENTITY_FILE, &bytes)?;
+        let identity = Identity { id: MemberId::new(identity.member), disk: identity.disk };
+        let recovery = self.read_all(identity)?;
+        if !self.segments.is_empty() {
+            let name = self.current_segment_name();
+            let bytes = self.read(&name)?;
+            self.write_file(&name, &bytes)?;
+        }
+        Ok(recovery)
+    }
+
+    /// Reads the snapshot and the log.
+    fn read_all(&mut self, identity: Identity) -> Result<Recovery, StoreError> {
+        let snapshot = self.read_snapshot()?;
+        let (entries, truncated) = self.read_segments(&snapshot)?;
+        let restored = Restored { hard_state: self.hard_state, snapshot, entries };
+        Ok(Recovery { identity, restored, truncated })
     }
 
     /// Returns the folder.
@@ -166,6 +197,11 @@
         &self.folder
     }
 
+    /// Returns the folder for changes to its surroundings; its files must not be modified.
+    pub fn folder_mut(&mut self) -> &mut F {
+        &mut self.folder
+    }
+
     /// Closes the store and returns the folder.
     pub fn into_folder(self) -> F {
         self.folder
--- a/crates/quorum/tests/storage_damage.rs
+++ b/crates/quorum/tests/storage_damage.rs
@@ -155,6 +155,29 @@
     assert!((3..=4).contains(&kept));
 }
 
+/// A member whose disk refused writes for a while goes on with what its folder contains, and loses nothing later.
+#[rstest]
+#[case::sync(DiskFault::Sync)]
+#[case::full(DiskFault::Full)]
+fn folder_recovers(#[case] fault: DiskFault) {
+    let (mut store, _) = Store::open(disk_with_entries(3), MEMBER, 10).expect("reading works");
+    store.folder_mut().fault = Some(fault);
+    store.save(&[record(4, 2)]).expect_err("the write fails");
+    store.recover().expect_err("the disk still refuses writes");
+    store.folder_mut().fault = None;
+    let recovery = store.recover().expect("the disk takes writes again");
+    let kept = recovery.restored.entries;
+    assert!((3..=4).contains(&kept.len()), "{kept:?}");
+    assert_eq!(recovery.identity.disk, 9, "the disk keeps its identity");
+    let next = kept.len() as u64 + 1;
+    store.save(&[record(next, 3)]).expect("the disk works");
+    let mut disk = store.into_folder();
+    disk.crash(0);
+    let (_, recovery) = Store::open(disk, MEMBER, 10).expect("the folder is intact");
+    let expected: Vec<Entry> = kept.into_iter().chain([entry(next, 3)]).collect();
+    assert_eq!(recovery.restored.entries, expected, "what was read back is durable");
+}
+
 #[test]
 fn lost_identity_is_refused() {
     let mut disk = disk_with_entries(3);
--- a/crates/testing/src/disk.rs
+++ b/crates/testing/src/disk.rs
@@ -12,6 +12,8 @@
 struct File {
     data: Vec<u8>,
     durable: Vec<u8>,
+    /// Whether a sync has failed; as on Linux, later ones then succeed without writing the affected data.
+    is_poisoned: bool,
 }
 
 /// Injected I/O error.
@@ -50,6 +52,7 @@
                 file.data.clone_from(&file.durable);
             }
             file.durable.clone_from(&file.data);
+            file.is_poisoned = false;
         }
     }
 
@@ -111,11 +114,14 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        if self.fault == Some(DiskFault::Sync) {
-            return Err(io::Error::other("injected sync failure"));
-        }
+        let has_failed = self.fault == Some(DiskFault::Sync);
         let file = self.file(name);
-        file.durable.clone_from(&file.data);
+        file.is_poisoned |= has_failed;
+        match (has_failed, file.is_poisoned) {
+            (true, _) => return Err(io::Error::other("injected sync failure")),
+            (false, true) => {}
+            (false, false) => file.durable.clone_from(&file.data),
+        }
         Ok(())
     }
 
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -194,6 +195,23 @@
         assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
     }
 
+    /// Makes a process fail to write files, as on a full disk, or lets it write again.
+    pub fn refuse_writes(&self, name: &str, is_refused: bool) {
+        let pid = i32::try_from(self.running[name].id()).ok().and_then(Pid::from_raw);
+        let limit = getrlimit(Resource::Fsize);
+        let current = if is_refused { Some(0) } else { limit.maximum };
+        let limit = Rlimit { current, ..limit };
+        prlimit(pid, Resource::Fsize, limit).expect("the limit of an own process can be set");
+    }
+
+    /// Returns the number of the member that leads, if one does.
+    pub fn leader(&self) -> Option<usize> {
+        (1..=self.hosts.len()).find(|number| {
+            let health = request(&self.operator_address(*number), "GET", "/healthz", "", "");
+            health.json()["role"] == "leader"
+        })
+    }
+
     /// Returns the peak resident memory of a process, in KiB.
     pub fn peak_memory(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.running[name].id());
