--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod probe;
 mod respond;
+mod running_call;
 mod server;
 mod shared;
 
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -455,10 +455,15 @@
         if !failed && let Some(service_time) = outcome.service_time {
             candidate.record_latency(evidence.record_time(route, service_time));
         }
-        // A lost response is attributed to the target rather than to its version.
-        if let (ServingVersions::Split { to, .. }, Ok(_)) = (&self.service.serving, &outcome.result)
-        {
-            evidence.count(&candidate.key, to, route, failed, service_time);
+        let ServingVersions::Split { to, .. } = &self.service.serving else { return };
+        match &outcome.result {
+            Ok(_) => evidence.count(&candidate.key, to, route, failed, service_time),
+            // The node beside the target reports calls without an answer; only it knows whether the target ran them.
+            Err(error) if error.code == ResultCode::DeadlineAfter => {
+                evidence.count_for_trip(&candidate.key, to, route, failed);
+            }
+            // A lost response is more likely the target's fault than its version's.
+            Err(_) => {}
         }
     }
 }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -130,10 +130,12 @@
         self
     }
 
-    fn send_to_relay(&self, body: upward::Body) {
+    /// Sends a message to the relay; returns false if it was dropped, as there is no link or its queue is full.
+    ///
+    /// A new link begins with the complete state.
+    fn send_to_relay(&self, body: upward::Body) -> bool {
         let message = Upward { body: Some(body) };
-        // The message is dropped if the queue is full or the link closed; a new link begins with the complete state.
-        drop(self.relay_sender.as_ref().map(|relay_sender| relay_sender.try_send(message)));
+        self.relay_sender.as_ref().is_some_and(|sender| sender.try_send(message).is_ok())
     }
 
     fn handle_link_opened(&mut self, relay_sender: mpsc::Sender<Upward>) {
@@ -299,9 +301,8 @@
 
     /// Sends the call statistics by target version to the relay.
     fn report_evidence(&self) {
-        if let Some(evidence) = self.shared.evidence().take() {
-            self.send_to_relay(upward::Body::Evidence(evidence));
-        }
+        let send = |evidence| self.send_to_relay(upward::Body::Evidence(evidence));
+        self.shared.evidence().report(monotonic_ms(), send);
     }
 }
 
--- a/crates/daemon/src/node/evidence.rs
+++ b/crates/daemon/src/node/evidence.rs
@@ -13,6 +13,8 @@
 const BUCKETS: usize = 24;
 /// Inverse weight of the newest sample in a route's average service time.
 const AVERAGE_DIVISOR: f32 = 64.0;
+/// Time for which evidence waits for a link to the relay.
+const REPORT_TTL: Duration = Duration::from_secs(6);
 /// Maximum number of routes whose average service time is kept.
 const MAX_ROUTES: usize = 4_096;
 
@@ -23,6 +25,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EvidenceTable {
     counts: HashMap<CountKey, EvidenceCount>,
+    /// Monotonic time until which everything is reported, in milliseconds.
+    reported_ms: u64,
     /// Evidence that this node alone has collected on moves, by service and new version.
     moves: HashMap<(SmolStr, SmolStr), MoveEvidence>,
     average_ms: HashMap<SmolStr, f32>,
@@ -51,7 +55,7 @@
         seen.is_some_and(MoveEvidence::is_tripped)
     }
 
-    /// Counts one call during a move to the version `to`.
+    /// Counts one answered call during a move to the version `to`.
     pub(crate) fn count(
         &mut self,
         target: &TargetKey,
@@ -59,6 +63,25 @@
         route: &SmolStr,
         failed: bool,
         service_time: Duration,
+    ) {
+        self.count_for_trip(target, to, route, failed);
+        let count = self.count_of(target, route);
+        match failed {
+            true => count.failed += 1,
+            false => {
+                count.answered += 1;
+                count.times[bucket(service_time)] += 1;
+            }
+        }
+    }
+
+    /// Counts one call towards this node's own decision to stop using the new version, but not for the reports.
+    pub(crate) fn count_for_trip(
+        &mut self,
+        target: &TargetKey,
+        to: &SmolStr,
+        route: &SmolStr,
+        failed: bool,
     ) {
         let side = match target.version == *to {
             true => Side::New,
@@ -71,27 +94,47 @@
         }
         let seen = self.moves.entry((target.service.clone(), to.clone())).or_default();
         seen.add(side, &single, monotonic_ms());
+    }
+
+    /// Counts a call that ran at a local target without an answer.
+    pub(crate) fn count_unanswered(&mut self, target: &TargetKey, route: &SmolStr) {
+        let count = self.count_of(target, route);
+        count.unanswered += 1;
+        count.node = target.node.to_string();
+    }
+
+    /// Counts a call whose caller left while a local target ran it.
+    pub(crate) fn count_abandoned(&mut self, target: &TargetKey, route: &SmolStr, after: Duration) {
+        let count = self.count_of(target, route);
+        count.abandoned.resize(BUCKETS, 0);
+        count.abandoned[bucket(after)] += 1;
+        count.node = target.node.to_string();
+    }
+
+    fn count_of(&mut self, target: &TargetKey, route: &SmolStr) -> &mut EvidenceCount {
         let key = (target.service.clone(), target.version.clone(), route.clone());
-        let count = self.counts.entry(key).or_insert_with(|| EvidenceCount {
+        self.counts.entry(key).or_insert_with(|| EvidenceCount {
             service: target.service.to_string(),
             version: target.version.to_string(),
             route: route.to_string(),
             times: vec![0; BUCKETS],
             ..EvidenceCount::default()
-        });
-        match failed {
-            true => count.failed += 1,
-            false => {
-                count.answered += 1;
-                count.times[bucket(service_time)] += 1;
-            }
-        }
+        })
     }
 
-    /// Returns the evidence since the last report and resets it.
-    pub(crate) fn take(&mut self) -> Option<Evidence> {
-        let counts: Vec<_> = self.counts.drain().map(|(_, count)| count).collect();
-        (!counts.is_empty()).then_some(Evidence { counts })
+    /// Passes the evidence since the last report to `send`, and resets it if that returns true.
+    ///
+    /// Evidence that can't be sent for [`REPORT_TTL`] is dropped, as what it says of the present is little by then.
+    pub(crate) fn report(&mut self, now_ms: u64, send: impl FnOnce(Evidence) -> bool) {
+        if self.counts.is_empty() {
+            self.reported_ms = now_ms;
+            return;
+        }
+        let is_sent = send(Evidence { counts: self.counts.values().cloned().collect() });
+        if is_sent || now_ms > self.reported_ms + REPORT_TTL.as_millis() as u64 {
+            self.counts.clear();
+            self.reported_ms = now_ms;
+        }
     }
 }
 
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -21,6 +21,7 @@
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
 use crate::node::headers::{self, CODE, TargetNotice, strip_hop_by_hop};
 use crate::node::respond::{error_response, respond};
+use crate::node::running_call::RunningCall;
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::{LocalTarget, NodeShared};
 
@@ -132,7 +133,9 @@
     }
     let (route, fingerprint) = (call.route.clone(), call.fingerprint);
     let started_ms = monotonic_ms();
+    let running = RunningCall::begin(shared, key, &route, call.deadline);
     let result = send_to_target(worker, key, local, call).await;
+    running.finish(&result);
     let elapsed = permit.elapsed();
     metrics::TARGET_TIME.observe(elapsed.as_secs_f64());
     let observed = call_outcome(&result);
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -1,5 +1,6 @@
 //! Actor that connects the source with the nodes of a relay.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
-    Downward, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate, UpdateFrame,
-    Upward, downward, upward,
+    Downward, Evidence, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate,
+    UpdateFrame, Upward, downward, upward,
 };
 use kingcuplift_traffic::{
     HandshakeLimit, MergeResult, ProgressReporter, RemoteMerge, TargetKey, TargetRegistry,
@@ -31,6 +32,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a node disconnects until its targets expire, in milliseconds.
 const NODE_GRACE_PERIOD_MS: u64 = 10_000;
+/// Time for which evidence of nodes waits for a link to the source, in milliseconds.
+const EVIDENCE_TTL_MS: u64 = 6_000;
+/// Maximum number of evidence reports that wait.
+const MAX_PENDING_EVIDENCE: usize = 1_024;
 /// Time for which a heartbeat from a current leader proves freshness, in milliseconds.
 const FRESHNESS_TTL_MS: u64 = 800;
 
@@ -66,6 +71,8 @@
     in_flight_freshness: Vec<(SessionId, u64)>,
     last_request: u64,
     progress: ProgressReporter,
+    /// Evidence of nodes that waits for a link to the source, with the time of its arrival in milliseconds.
+    pending_evidence: VecDeque<(u64, Evidence)>,
     /// Monotonic time of the last heartbeat from a current leader, in milliseconds.
     last_fresh_ms: u64,
 }
@@ -95,6 +102,7 @@
             in_flight_freshness: Vec::new(),
             last_request: 0,
             progress: ProgressReporter::default(),
+            pending_evidence: VecDeque::new(),
             last_fresh_ms: 0,
         }
     }
@@ -237,7 +245,27 @@
         self.request_freshness();
     }
 
+    /// Sends the evidence of nodes to the source; what can't be sent yet waits until it is outdated.
+    fn send_evidence(&mut self) {
+        let oldest_ms = monotonic_ms().saturating_sub(EVIDENCE_TTL_MS);
+        let received = self.pending_evidence.len();
+        let surplus = received.saturating_sub(MAX_PENDING_EVIDENCE);
+        self.pending_evidence.drain(..surplus);
+        self.pending_evidence.retain(|(received_ms, _)| *received_ms >= oldest_ms);
+        let dropped = received - self.pending_evidence.len();
+        if dropped > 0 {
+            log::debug!("dropped {dropped} evidence reports: no link to the source in time");
+        }
+        while let Some((_, evidence)) = self.pending_evidence.front() {
+            if !self.send_to_source(upward::Body::Evidence(evidence.clone())) {
+                return;
+            }
+            self.pending_evidence.pop_front();
+        }
+    }
+
     fn report_progress(&mut self) {
+        self.send_evidence();
         if self.source_sender.is_some() {
             let nodes = self.fanout.iter().map(|(_, node)| (&node.name, &node.zone, node.applied));
             let report = self.progress.report(nodes);
@@ -373,10 +401,8 @@
             }
             upward::Body::Resync(_) => self.fanout.resync(session),
             upward::Body::Evidence(evidence) => {
-                // Without a link, evidence is dropped: it would be outdated by the time there is one.
-                if !self.send_to_source(upward::Body::Evidence(evidence)) {
-                    log::debug!("dropped evidence: no link to the source");
-                }
+                self.pending_evidence.push_back((monotonic_ms(), evidence));
+                self.send_evidence();
             }
             upward::Body::Hello(_) | upward::Body::Progress(_) => {}
         }
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -58,6 +58,25 @@
         self.active.clear();
     }
 
+    /// Begins to collect evidence on active moves, and drops that on others.
+    fn track(&mut self, specs: &[MoveSpec]) {
+        let is_listed = |service: &SmolStr, active: &ActiveMove| {
+            specs.iter().any(|spec| {
+                spec.service.as_str() == service && spec.to.as_str() == active.to.as_str()
+            })
+        };
+        self.active.retain(|service, active| is_listed(service, active));
+        for spec in specs {
+            self.active.entry(SmolStr::new(spec.service.as_str())).or_insert_with(|| ActiveMove {
+                to: SmolStr::new(spec.to.as_str()),
+                evidence: MoveEvidence::default(),
+                moved: spec.moved_permille,
+                changed_ms: monotonic_ms(),
+                is_step_pending: false,
+            });
+        }
+    }
+
     /// Records evidence from nodes; returns whether any of it is about the new version of an active move.
     fn add_evidence(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
         let mut is_relevant = false;
@@ -77,6 +96,8 @@
 impl SourceActor {
     /// Records evidence from nodes and advances the moves at once if it is about a new version.
     pub(crate) fn handle_evidence(&mut self, evidence: &Evidence) {
+        let specs = self.active_specs();
+        self.moves.track(&specs);
         if self.moves.add_evidence(evidence, monotonic_ms()) {
             self.advance_moves();
         }
@@ -88,22 +109,24 @@
         if replica.role() != RoleName::Leader || !replica.is_current(monotonic_ms()) {
             return;
         }
-        let document = self.catalog.current().document();
-        let mut active_specs: Vec<MoveSpec> = Vec::new();
-        for key in document.keys_of(Kind::Moves) {
-            match document.get(key).map(|stored| &stored.resource) {
-                Some(Resource::Move(spec)) if is_active(spec) => active_specs.push(spec.clone()),
-                _ => {}
-            }
-        }
-        let is_listed =
-            |service: &SmolStr| active_specs.iter().any(|spec| spec.service.as_str() == service);
-        self.moves.active.retain(|service, _| is_listed(service));
-        for spec in active_specs {
+        let specs = self.active_specs();
+        self.moves.track(&specs);
+        for spec in specs {
             self.advance_move(&spec);
         }
     }
 
+    /// Returns the moves that the leader has to advance.
+    fn active_specs(&self) -> Vec<MoveSpec> {
+        let document = self.catalog.current().document();
+        let resources = document.keys_of(Kind::Moves).filter_map(|key| document.get(key));
+        let specs = resources.filter_map(|stored| match &stored.resource {
+            Resource::Move(spec) if is_active(spec) => Some(spec.clone()),
+            _ => None,
+        });
+        specs.collect()
+    }
+
     /// Chooses the next step of a move and submits it.
     fn advance_move(&mut self, spec: &MoveSpec) {
         let now = monotonic_ms();
@@ -113,13 +136,7 @@
             target.version == spec.to.as_str() && target.state() == TargetState::Ready
         };
         let targets = targets.filter(|(_, target)| is_ready(target)).count();
-        let active_move = self.moves.active.entry(name.clone()).or_insert_with(|| ActiveMove {
-            to: SmolStr::new(spec.to.as_str()),
-            evidence: MoveEvidence::default(),
-            moved: spec.moved_permille,
-            changed_ms: now,
-            is_step_pending: false,
-        });
+        let Some(active_move) = self.moves.active.get_mut(&name) else { return };
         if active_move.moved != spec.moved_permille {
             active_move.moved = spec.moved_permille;
             active_move.changed_ms = now;
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -47,6 +47,13 @@
         /// Time before each response.
         delay: Duration,
     },
+    /// Responds with success after a delay, but never to a request whose head contains `text`.
+    HangOn {
+        /// Text in the head of the request, in lower case.
+        text: &'static str,
+        /// Time before each response.
+        delay: Duration,
+    },
     /// Never responds; waits until the peer closes the connection.
     Hang,
     /// Sends these bytes, then `filler` again and again until the peer closes the connection.
@@ -215,7 +222,12 @@
                 TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
                     return self.crash();
                 }
-                TargetBehavior::CrashOn { delay, .. } => {
+                TargetBehavior::HangOn { text, .. } if head.contains(text) => {
+                    // The read returns when the peer closes the connection.
+                    let _closed = stream.read(&mut [0]);
+                    return self.record_close(index);
+                }
+                TargetBehavior::CrashOn { delay, .. } | TargetBehavior::HangOn { delay, .. } => {
                     std::thread::sleep(delay);
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
                 }
--- a/crates/traffic/src/move_policy.rs
+++ b/crates/traffic/src/move_policy.rs
@@ -43,6 +43,10 @@
 const TOLERATED_FRACTION: f64 = 0.01;
 /// Histogram buckets between the old version's median and a slow answer: about five times the median.
 const SLOW_BUCKETS: usize = 4;
+/// Fraction of the calls that the first share brings the new version, below which reports on it are missing.
+const REPORTED_FRACTION: f64 = 0.25;
+/// Such calls from which on their absence from the reports is no chance.
+const MIN_EXPECTED_CALLS: f64 = 12.0;
 /// Fraction of failed calls at which a node stops using the new version by itself.
 const TRIP_FRACTION: f64 = 0.25;
 
@@ -52,15 +56,21 @@
     answered: f64,
     failed: f64,
     times: Vec<f64>,
+    /// Calls that ran without an answer, by the node beside the target.
+    unanswered: HashMap<SmolStr, f64>,
+    /// Histogram of the times after which callers left calls that still ran.
+    abandoned: Vec<f64>,
 }
 
 impl Counts {
     fn add(&mut self, count: &EvidenceCount) {
         self.answered += count.answered as f64;
         self.failed += count.failed as f64;
-        self.times.resize(self.times.len().max(count.times.len()), 0.0);
-        for (sum, more) in self.times.iter_mut().zip(&count.times) {
-            *sum += *more as f64;
+        add_histogram(&mut self.times, &count.times);
+        add_histogram(&mut self.abandoned, &count.abandoned);
+        if count.unanswered > 0 {
+            *self.unanswered.entry(SmolStr::new(&count.node)).or_default() +=
+                count.unanswered as f64;
         }
     }
 
@@ -68,10 +78,22 @@
         self.answered *= factor;
         self.failed *= factor;
         self.times.iter_mut().for_each(|time| *time *= factor);
+        self.abandoned.iter_mut().for_each(|time| *time *= factor);
+        self.unanswered.values_mut().for_each(|calls| *calls *= factor);
     }
 
     fn calls(&self) -> f64 {
-        self.answered + self.failed
+        self.answered + self.failed + self.unanswered.values().sum::<f64>()
+    }
+
+    /// Returns the calls that failed or have no answer.
+    fn failures(&self) -> f64 {
+        self.failed + self.unanswered.values().sum::<f64>()
+    }
+
+    /// Returns the calls without an answer at the target that has most of them.
+    fn worst_unanswered(&self) -> f64 {
+        self.unanswered.values().copied().fold(0.0, f64::max)
     }
 
     /// Returns the histogram bucket of the median answer.
@@ -84,9 +106,20 @@
         })
     }
 
-    /// Returns the number of answers in buckets from `first` on.
+    /// Returns the calls that took until bucket `first` or longer, whether their callers waited for the end or left.
     fn count_from(&self, first: usize) -> f64 {
-        self.times.iter().skip(first).sum()
+        self.times.iter().skip(first).sum::<f64>() + self.abandoned_from(first)
+    }
+
+    fn abandoned_from(&self, first: usize) -> f64 {
+        self.abandoned.iter().skip(first).sum()
+    }
+}
+
+fn add_histogram(sums: &mut Vec<f64>, counts: &[u64]) {
+    sums.resize(sums.len().max(counts.len()), 0.0);
+    for (sum, more) in sums.iter_mut().zip(counts) {
+        *sum += *more as f64;
     }
 }
 
@@ -130,13 +163,22 @@
         self.routes.values().map(|sides| sides[Side::New as usize].calls()).sum()
     }
 
-    /// Returns a regression of the new version, if there is one.
-    pub fn regression(&self) -> Option<Regression> {
+    /// Returns whether the reports have far fewer calls of the new version than even its first share brings it.
+    fn lacks_reports(&self) -> bool {
+        let old_calls: f64 = self.routes.values().map(|[old, _]| old.calls()).sum();
+        let expected = old_calls * f64::from(FIRST_SHARE) / f64::from(WHOLE_SHARE - FIRST_SHARE);
+        expected >= MIN_EXPECTED_CALLS && self.new_version_calls() < expected * REPORTED_FRACTION
+    }
+
+    /// Returns a regression of the new version, which has this number of targets, if there is one.
+    ///
+    /// Calls without an answer may be due to a single target. Where there are several, those of the worst are left out.
+    pub fn regression(&self, targets: usize) -> Option<Regression> {
         self.routes.iter().find_map(|(route, [old, new])| {
-            let bad_calls = [excess_failures(old, new), excess_slow_answers(old, new)]
-                .into_iter()
-                .flatten()
-                .next()?;
+            let left_out = if targets > 1 { new.worst_unanswered() } else { 0.0 };
+            let failures = excess_failures(old, new, new.failures() - left_out);
+            let bad_calls =
+                [failures, excess_slow_answers(old, new)].into_iter().flatten().next()?;
             Some(Regression { route: route.clone(), bad_calls, calls: new.calls() })
         })
     }
@@ -144,7 +186,8 @@
     /// Returns whether the calls of this node alone justify that it stops using the new version.
     pub fn is_tripped(&self) -> bool {
         self.routes.values().any(|[old, new]| {
-            new.failed >= TRIP_FRACTION * new.calls() && excess_failures(old, new).is_some()
+            new.failed >= TRIP_FRACTION * new.calls()
+                && excess_failures(old, new, new.failed).is_some()
         })
     }
 
@@ -170,16 +213,17 @@
 }
 
 /// Returns the failures of the new version if they are significantly too many.
-fn excess_failures(old: &Counts, new: &Counts) -> Option<f64> {
-    let is_bad = is_excessive(new.failed, new.calls(), old.failed, old.calls());
-    is_bad.then_some(new.failed)
+fn excess_failures(old: &Counts, new: &Counts, failures: f64) -> Option<f64> {
+    let is_bad = is_excessive(failures, new.calls(), old.failures(), old.calls());
+    is_bad.then_some(failures)
 }
 
 /// Returns the slow answers of the new version if they are significantly too many.
 fn excess_slow_answers(old: &Counts, new: &Counts) -> Option<f64> {
     let first = old.median()? + SLOW_BUCKETS;
     let (slow, old_slow) = (new.count_from(first), old.count_from(first));
-    is_excessive(slow, new.answered, old_slow, old.answered).then_some(slow)
+    let calls = |counts: &Counts| counts.answered + counts.abandoned_from(first);
+    is_excessive(slow, calls(new), old_slow, calls(old)).then_some(slow)
 }
 
 /// Progress of a move, as the leader sees it.
@@ -220,7 +264,7 @@
 
 /// Decides the next step of a move.
 pub fn next_step(stage: MoveStage, evidence: &MoveEvidence) -> MoveStep {
-    if let Some(regression) = evidence.regression() {
+    if let Some(regression) = evidence.regression(stage.targets) {
         return MoveStep::RollBack(Some(regression));
     }
     let trial = stage.within.mul_f64(TRIAL_FRACTION);
@@ -241,6 +285,7 @@
         {
             MoveStep::Wait
         }
+        _ if evidence.lacks_reports() => MoveStep::Wait,
         _ if stage.new_share > FIRST_SHARE && stage.since_change < step_time(stage) => {
             MoveStep::Wait
         }
--- a/crates/traffic/tests/move_steps.rs
+++ b/crates/traffic/tests/move_steps.rs
@@ -56,6 +56,17 @@
 
 /// Simulates a move whose first step is decided `start_ms` after the request, as no leader was there before.
 fn simulate_from(start_ms: u64, failing: BadFraction, slow: BadFraction, baseline: f64) -> Outcome {
+    simulate_reports(start_ms, baseline, |now, share, calls| {
+        vec![count(calls, failing(now, share).max(baseline), slow(now, share))]
+    })
+}
+
+/// Simulates a move; `report` returns the evidence on the calls of the new version, by elapsed time and share.
+fn simulate_reports(
+    start_ms: u64,
+    baseline: f64,
+    report: impl Fn(u64, u16, f64) -> Vec<EvidenceCount>,
+) -> Outcome {
     let mut evidence = MoveEvidence::default();
     let (mut new_share, mut changed_ms, mut exposed) = (0_u16, start_ms, 0.0);
     let mut pending: Option<(u64, u16)> = None;
@@ -66,9 +77,10 @@
         let calls = RATE * STEP_MS as f64 / 1_000.0;
         let new = calls * f64::from(new_share) / 1_000.0;
         exposed += new;
-        let bad = failing(now, new_share).max(baseline);
         evidence.add(Side::Old, &count(calls - new, baseline, 0.0), now);
-        evidence.add(Side::New, &count(new, bad, slow(now, new_share)), now);
+        for count in report(now, new_share, new) {
+            evidence.add(Side::New, &count, now);
+        }
         let stage = MoveStage {
             new_share,
             since_change: Duration::from_millis(now - changed_ms),
@@ -86,7 +98,7 @@
             }
         }
     }
-    panic!("the move did not end within 60 s");
+    Outcome { last_step: MoveStep::Wait, ended_ms: 60_000, exposed }
 }
 
 fn none(_: u64, _: u16) -> f64 {
@@ -140,6 +152,70 @@
     assert!(outcome.exposed < allowed, "{} calls, allowed {allowed}", outcome.exposed);
 }
 
+/// Reports calls without an answer, from the nodes beside the targets in turn.
+fn unanswered(now: u64, calls: f64, nodes: u64) -> EvidenceCount {
+    EvidenceCount {
+        route: "reads".to_owned(),
+        unanswered: calls.round() as u64,
+        node: format!("node-{}", now / STEP_MS % nodes),
+        ..EvidenceCount::default()
+    }
+}
+
+/// Calls that missed their deadline counted as no evidence, so that the version got all traffic.
+#[rstest]
+#[case::half(0.5)]
+#[case::all(1.0)]
+fn unanswered_calls_trigger_rollback(#[case] fraction: f64) {
+    let outcome = simulate_reports(0, 0.004, |now, _, calls| {
+        let answered = count(calls * (1.0 - fraction), 0.004, 0.0);
+        vec![unanswered(now, calls * fraction, TARGETS as u64), answered]
+    });
+    assert!(matches!(outcome.last_step, MoveStep::RollBack(Some(_))), "{:?}", outcome.last_step);
+    let allowed = RATE * WITHIN.as_secs_f64() * EXPOSED_FRACTION + EXPOSED_SLACK;
+    assert!(outcome.exposed < allowed, "{} calls, allowed {allowed}", outcome.exposed);
+}
+
+/// Callers that leave before a slow answer took the evidence along.
+#[test]
+fn abandoned_calls_trigger_rollback() {
+    let outcome = simulate_reports(0, 0.004, |_, _, calls| {
+        let mut abandoned = vec![0; 24];
+        abandoned[15] = (calls / 2.0).round() as u64;
+        let left = EvidenceCount { abandoned, ..count(calls / 2.0, 0.004, 0.0) };
+        vec![left]
+    });
+    assert!(matches!(outcome.last_step, MoveStep::RollBack(Some(_))), "{:?}", outcome.last_step);
+}
+
+/// Callers that leave after less time than an answer usually takes say nothing of the version.
+#[test]
+fn impatient_callers_are_no_regression() {
+    let outcome = simulate_reports(0, 0.004, |_, _, calls| {
+        let mut abandoned = vec![0; 24];
+        abandoned[8] = (calls / 4.0).round() as u64;
+        vec![EvidenceCount { abandoned, ..count(calls * 0.75, 0.004, 0.0) }]
+    });
+    assert_eq!(outcome.last_step, MoveStep::Done);
+}
+
+/// One target that never answers is no fault of the version on the others.
+#[test]
+fn single_silent_target_is_no_regression() {
+    let outcome = simulate_reports(0, 0.004, |now, _, calls| {
+        let part = calls / TARGETS as f64;
+        vec![unanswered(now, part, 1), count(calls - part, 0.004, 0.0)]
+    });
+    assert_eq!(outcome.last_step, MoveStep::Done);
+}
+
+/// Without reports on the new version, although the old one's arrive, nothing is known in its favour.
+#[test]
+fn missing_reports_hold_the_share() {
+    let outcome = simulate_reports(0, 0.004, |_, _, _| Vec::new());
+    assert_eq!(outcome.last_step, MoveStep::Wait);
+}
+
 #[rstest]
 #[case::some(0.1)]
 #[case::half(0.5)]
