--- /dev/null
+++ b/crates/cli/tests/departed_targets.rs
@@ -0,0 +1,88 @@
+//! Targets that have left stay out of use when the node beside them restarts, with real processes.
+
+use std::time::{Duration, Instant};
+
+use kingcuplift_testing::{
+    PlaintextSite, ScriptedTarget, TargetBehavior, call_desk, is_node_ready, report_desk, request,
+    start_desk_nodes,
+};
+use rstest::rstest;
+use serde_json::json;
+
+/// Start time of the first life of each target.
+const BORN: u64 = 1_000;
+/// Time for which calls are sent after the restart.
+const LOAD_TIME: Duration = Duration::from_secs(3);
+
+/// How a target says that it leaves.
+#[derive(Debug, Clone, Copy)]
+enum Departure {
+    /// It deregisters.
+    Deregistered,
+    /// It reports that it leaves.
+    Reported,
+}
+
+/// When the report arrives that the target had made before it left.
+#[derive(Debug, Clone, Copy)]
+enum Arrival {
+    /// As soon as the restarted node takes reports, before it has a link to a relay.
+    AtOnce,
+    /// Once the restarted node is ready.
+    Later,
+}
+
+fn depart(site: &PlaintextSite, target: &ScriptedTarget, departure: Departure) {
+    let left = match departure {
+        Departure::Deregistered => {
+            let body = json!({ "born": BORN }).to_string();
+            request(&site.addresses("node-1").admin, "DELETE", "/v1/instances/i-1", "", &body)
+        }
+        Departure::Reported => {
+            report_desk(site, "node-1", target, &json!({ "state": "leaving", "sequence": 9 }))
+        }
+    };
+    assert_eq!(left.status, 200);
+    // The other node learns of it before the restart.
+    std::thread::sleep(Duration::from_millis(500));
+}
+
+/// A restarted node had forgotten which targets had left, and took one into use again by a report from before.
+#[rstest]
+fn late_report_after_restart(
+    #[values(Departure::Deregistered, Departure::Reported)] departure: Departure,
+    #[values(Arrival::AtOnce, Arrival::Later)] arrival: Arrival,
+) {
+    let targets: [_; 2] =
+        std::array::from_fn(|_| ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO)));
+    let mut site = start_desk_nodes(&targets, &json!({}));
+    depart(&site, &targets[0], departure);
+    site.kill("node-1");
+    site.start_process("node-1");
+    if matches!(arrival, Arrival::Later) {
+        site.wait("the restarted node", |site| is_node_ready(site, "node-1").then_some(()));
+    }
+    let late = json!({ "sequence": 8 });
+    site.wait("an answer to the late report", |site| {
+        (report_desk(site, "node-1", &targets[0], &late).status == 200).then_some(())
+    });
+    site.wait("the restarted node", |site| is_node_ready(site, "node-1").then_some(()));
+    std::thread::sleep(Duration::from_millis(500));
+    let before = targets[0].requests().len();
+    let began_at = Instant::now();
+    let mut number = 0;
+    while began_at.elapsed() < LOAD_TIME {
+        let node = format!("node-{}", number % 2 + 1);
+        let response = call_desk(&site, &node, "GET", "/read/1", &format!("c-{number}"));
+        assert_eq!(response.status, 200, "the other target answers");
+        number += 1;
+    }
+    let late_calls = targets[0].requests().len() - before;
+    assert_eq!(late_calls, 0, "of {number} calls, some reached a target that had left");
+    let next_life = json!({ "born": BORN + 1, "sequence": 1 });
+    assert_eq!(report_desk(&site, "node-1", &targets[0], &next_life).status, 200);
+    site.wait("calls at the next life of the target", |site| {
+        call_desk(site, "node-1", "GET", "/read/1", "c-next");
+        (targets[0].requests().len() > before).then_some(())
+    });
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -70,6 +70,8 @@
     instances: HashMap<TargetKey, KnownInstance>,
     /// Latest start time of the instances that have ended here, in milliseconds since the Unix epoch.
     latest_ended_start_ms: u64,
+    /// Start time and sequence number of the latest report in which a target here said that it leaves.
+    latest_leaving: (u64, u64),
     relay_addresses: UpstreamAddresses,
     /// Whether the node's availability zone is out of service.
     is_zone_out: bool,
@@ -111,6 +113,7 @@
             incarnations: HashMap::new(),
             instances: HashMap::new(),
             latest_ended_start_ms: 0,
+            latest_leaving: (0, 0),
             relay_addresses,
             is_zone_out: false,
             is_closing: false,
@@ -157,6 +160,7 @@
         for key in keys {
             self.republish_target(&key);
         }
+        self.announce_departed();
         self.report_applied();
     }
 
@@ -199,6 +203,9 @@
         let mut inaccurate = Vec::new();
         for target in update.targets {
             let is_own = target.node == self.shared.name.as_str();
+            if is_own {
+                self.learn_departures(&target);
+            }
             if is_own && self.is_adopting() {
                 self.restore_limit(&target);
             }
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -64,6 +64,60 @@
         true
     }
 
+    /// Learns from the relay's record of a local target which instances have left; a restarted node has forgotten that.
+    ///
+    /// An instance that has left and was accepted again in the meantime, by a delayed report, is withdrawn.
+    pub(super) fn learn_departures(&mut self, target: &Target) {
+        self.latest_ended_start_ms = self.latest_ended_start_ms.max(target.ended_born);
+        if target.leaving_sequence > 0 {
+            let leaving = (target.born, target.leaving_sequence);
+            self.latest_leaving = self.latest_leaving.max(leaving);
+        }
+        let ended: Vec<TargetKey> = self
+            .instances
+            .iter()
+            .filter(|(_, known)| self.has_ended(&known.report))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &ended {
+            Event::TargetDrained.emit(&[("target", key)]);
+        }
+        self.withdraw(&ended, TargetState::Gone);
+        let latest_leaving = self.latest_leaving;
+        let mut leaving = Vec::new();
+        for (key, known) in &mut self.instances {
+            if !known.report.is_leaving && known.report.position() <= latest_leaving {
+                known.report.is_leaving = true;
+                known.report.sequence = latest_leaving.1;
+                leaving.push(key.clone());
+            }
+        }
+        for key in leaving {
+            if let Some(local) = self.shared.local_targets.load_full().get(&key) {
+                self.update_admission(&key, local);
+            }
+            self.republish_target(&key);
+        }
+    }
+
+    /// Sends the relay the records of the local targets that have left: the source may have forgotten them.
+    pub(super) fn announce_departed(&self) {
+        let own = |target: &&Target| target.node == self.shared.name.as_str();
+        let departed = self.table.changed_since(0).filter(own);
+        let departed = departed
+            .filter(|target| target.state() == TargetState::Gone && (target.ended_born > 0));
+        let targets: Vec<Target> = departed.cloned().collect();
+        if !targets.is_empty() {
+            let update = TargetUpdate { targets, full: false, position: 0 };
+            self.send_to_relay(upward::Body::Targets(update));
+        }
+    }
+
+    /// Returns whether a report is from an instance that has ended for good.
+    fn has_ended(&self, report: &InstanceReport) -> bool {
+        report.start_time_ms != 0 && report.start_time_ms <= self.latest_ended_start_ms
+    }
+
     /// Returns whether the relay's record of a local target differs from its state here.
     pub(super) fn is_inaccurate(&self, target: &Target) -> bool {
         let key = TargetKey::of(target);
@@ -137,6 +191,12 @@
         local_targets.get(key).map_or(0, |local| local.losses().announced())
     }
 
+    /// Returns the sequence number of the report in which a local target said that it leaves, or 0.
+    fn leaving_sequence(&self, key: &TargetKey) -> u64 {
+        let known = self.instances.get(key).filter(|known| known.report.is_leaving);
+        known.map_or(0, |known| known.report.sequence)
+    }
+
     /// Returns the limit that a local target states.
     fn stated_limit(&self, key: &TargetKey) -> Option<PerSecond> {
         let local_targets = self.shared.local_targets.load();
@@ -261,16 +321,18 @@
         }
     }
 
-    /// Returns whether a report is from an ended or earlier instance, or not newer than the last one for its address.
+    /// Returns whether a report is from an ended or earlier instance, or not newer than the last one for its address or
+    /// than one in which a target here said that it leaves.
     fn is_outdated(&self, report: &InstanceReport, address: SocketAddr) -> bool {
         let address = address.to_string();
         let at_address =
             |key: &TargetKey| self.leases.get(key).is_some_and(|lease| lease.address == address);
         let known = self.instances.iter().filter(|(key, _)| at_address(key));
-        let newest =
-            known.map(|(_, known)| (known.report.start_time_ms, known.report.sequence)).max();
-        (report.start_time_ms != 0 && report.start_time_ms <= self.latest_ended_start_ms)
-            || newest.is_some_and(|newest| (report.start_time_ms, report.sequence) <= newest)
+        let newest = known.map(|(_, known)| known.report.position()).max();
+        let position = report.position();
+        self.has_ended(report)
+            || position <= self.latest_leaving
+            || newest.is_some_and(|newest| position <= newest)
     }
 
     /// Returns whether a report names a service that is not configured, at the address of a target whose service is.
@@ -445,6 +507,8 @@
             lost_permille: self.announced_losses(key),
             crashes: self.recent_crashes(key),
             rate_limit: self.stated_limit(key).map(PerSecond::get),
+            ended_born: self.latest_ended_start_ms,
+            leaving_sequence: self.leaving_sequence(key),
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -40,6 +40,13 @@
     pub(crate) warmup: Duration,
 }
 
+impl InstanceReport {
+    /// Returns the start time and the sequence number, by which the reports at one address are ordered.
+    pub(super) fn position(&self) -> (u64, u64) {
+        (self.start_time_ms, self.sequence)
+    }
+}
+
 /// Deregisters a target that leaves; its calls in flight finish.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
