--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -1,5 +1,6 @@
 //! Serves calls from callers: chooses a target for each call and returns the target's response.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,7 +29,7 @@
 use crate::node::peers::{call_local_target, path_of};
 use crate::node::respond::respond;
 use crate::node::server::{Worker, serve_calls};
-use crate::node::shared::NodeShared;
+use crate::node::shared::{DRAINING, NodeShared};
 
 /// Upper bound of a call's expected latency, as a fraction of the time left until its objective.
 const MAX_LATENCY_FRACTION: f64 = 2.0;
@@ -49,7 +50,12 @@
 async fn handle(worker: Worker, request: Request<Incoming>) -> Response<Body> {
     let started_at = Instant::now();
     let guard = worker.shared.begin_call();
-    let result = process(&worker, request, started_at).await;
+    let is_sent = Cell::new(false);
+    let result = tokio::select! {
+        biased;
+        result = process(&worker, request, started_at, &is_sent) => result,
+        () = worker.shared.stopping() => Err(error_at_stop(is_sent.get())),
+    };
     drop(guard);
     let code = result.as_ref().err().map_or(0, |error| error.code.number());
     metrics::CALLS.with_label_values(&[code.to_string()]).inc();
@@ -65,11 +71,22 @@
     response
 }
 
+/// Returns the error of a call that is in progress when the process ends.
+fn error_at_stop(is_sent: bool) -> CallError {
+    match is_sent {
+        true => ResultCode::DeadlineAfter.into(),
+        false => DRAINING,
+    }
+}
+
+/// Serves a call; sets `is_sent` before the call is sent to a target or its node.
 async fn process(
     worker: &Worker,
     request: Request<Incoming>,
     started_at: Instant,
+    is_sent: &Cell<bool>,
 ) -> Result<TargetResponse, CallError> {
+    worker.shared.check_open()?;
     if worker.shared.in_flight() > MAX_IN_FLIGHT {
         return Err(ResultCode::Overloaded.into());
     }
@@ -77,7 +94,7 @@
     let view = wait_for_view(&worker.shared, &parts).await?;
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
-    let time = worker.shared.limit_to_shutdown(started_at, time, route.objective)?;
+    worker.shared.limit_to_shutdown(time, route.objective)?;
     let body = Body::read(incoming, view.limits().max_body_size.get()).await;
     let body = body.map_err(ResultCode::from)?;
     let call = make_call(&worker.shared, parts, body, route, started_at, time);
@@ -94,6 +111,8 @@
         service,
         service_name,
         is_idempotent,
+        is_sent,
+        objective: route.objective,
         attempt_limit: route.attempts,
         tried: Vec::new(),
         targets_reached: 0,
@@ -229,6 +248,10 @@
     service: &'a ServiceView,
     service_name: SmolStr,
     is_idempotent: bool,
+    /// Set before the first attempt.
+    is_sent: &'a Cell<bool>,
+    /// Time from the call's arrival to its latency objective.
+    objective: Duration,
     /// Maximum number of targets that the call is sent to.
     attempt_limit: usize,
     tried: Vec<TargetKey>,
@@ -270,6 +293,14 @@
                 results.add(Err(error), |error| error.code.run());
                 break;
             }
+            match self.worker.shared.limit_to_shutdown(call.time_left(), self.objective) {
+                Ok(time) => call.deadline = call.deadline.min(Instant::now() + time),
+                Err(error) => {
+                    results.add(Err(error), |error| error.code.run());
+                    break;
+                }
+            }
+            self.is_sent.set(true);
             self.tried.push(candidate.key.clone());
             let copy = call.try_clone();
             let route = call.route.clone();
--- a/crates/daemon/src/node/server.rs
+++ b/crates/daemon/src/node/server.rs
@@ -130,9 +130,11 @@
         .max_buf_size(limits.max_header_size.as_usize().max(MIN_READ_BUFFER))
         .auto_date_header(false);
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // A connection that is opened during the shutdown gets one response, which closes it.
+    let is_closing = *closing.borrow();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = wait_for_close(&mut closing) => {
+        () = wait_for_close(&mut closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -12,8 +12,8 @@
     CallFingerprint, Event, NodeName, PerSecond, ResultCode, ServiceName, Version, ZoneName,
 };
 use kingcuplift_traffic::{
-    CrashLog, LossMeter, Quarantine, RetryBudget, RetryLimits, RoutingView, StartupWindow,
-    StatedLoad, Suspicion, TargetKey, WarmupTolerance, time_before_stop,
+    CrashLog, LossMeter, Quarantine, RESPONSE_TIME, RetryBudget, RetryLimits, RoutingView,
+    StartupWindow, StatedLoad, Suspicion, TargetKey, WarmupTolerance, time_before_stop,
 };
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -28,7 +28,7 @@
 /// Usual time that a process takes to restart; refused callers are asked to retry after it.
 const RESTART_TIME: Duration = Duration::from_millis(600);
 /// Refusal of a call that the node can't complete before it stops.
-const DRAINING: CallError =
+pub(crate) const DRAINING: CallError =
     CallError { code: ResultCode::Draining, retry_after: Some(RESTART_TIME) };
 /// Rate limit of log lines on calls that are refused, fail or are retried.
 const MAX_CALL_LINES_PER_S: u32 = 10;
@@ -109,7 +109,8 @@
     pub(crate) node_count: AtomicUsize,
     is_draining: AtomicBool,
     /// Time at which the process ends; set when a shutdown begins.
-    stop_at: ArcSwapOption<Instant>,
+    stop_at: watch::Sender<Option<Instant>>,
+    /// Whether all new calls are refused and connections close after their next response.
     closing: watch::Sender<bool>,
     in_flight: AtomicUsize,
     /// Rate limit of log lines on calls that this node refuses, fails or retries.
@@ -138,7 +139,7 @@
             control: OnceLock::new(),
             node_count: AtomicUsize::new(1),
             is_draining: AtomicBool::new(false),
-            stop_at: ArcSwapOption::empty(),
+            stop_at: watch::Sender::new(None),
             closing: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             call_log_limiter: LogRateLimiter::new(MAX_CALL_LINES_PER_S),
@@ -206,35 +207,57 @@
 
     /// Begins a shutdown: the node is reported as not ready, and serves calls that can end by `until`.
     pub(crate) fn begin_shutdown(&self, until: Instant) {
-        self.stop_at.store(Some(Arc::new(until)));
+        self.stop_at.send_replace(Some(until));
         self.is_draining.store(true, Ordering::Release);
     }
 
-    /// Returns how long a caller's call may take: its `time`, or the time until the process ends if that is less.
+    /// Returns how long a caller's call may take that is about to be sent to a target: its `time`, or the time until the
+    /// process ends if that is less.
     ///
     /// Refuses a call that could not meet its objective by then.
     pub(crate) fn limit_to_shutdown(
         &self,
-        started_at: Instant,
         time: Duration,
         objective: Duration,
     ) -> Result<Duration, CallError> {
-        let Some(until) = self.stop_at.load_full() else { return Ok(time) };
-        let left = until.saturating_duration_since(started_at);
+        let Some(until) = *self.stop_at.borrow() else { return Ok(time) };
+        let left = until.saturating_duration_since(Instant::now());
         time_before_stop(time, objective, left).ok_or(DRAINING)
     }
 
+    /// Refuses a caller's call that arrives after [`Self::close`].
+    pub(crate) fn check_open(&self) -> Result<(), CallError> {
+        match *self.closing.borrow() {
+            true => Err(DRAINING),
+            false => Ok(()),
+        }
+    }
+
     /// Refuses another node's call whose deadline lies after the end of the process; it can go to another target.
     pub(crate) fn check_shutdown(&self, deadline: Instant) -> Result<(), CallError> {
-        match self.stop_at.load().as_deref() {
-            Some(until) if deadline > *until => Err(DRAINING),
+        self.check_open()?;
+        match *self.stop_at.borrow() {
+            Some(until) if deadline > until => Err(DRAINING),
             _ => Ok(()),
         }
     }
 
+    /// Waits until the process is about to end, so that each call must be answered now.
+    pub(crate) async fn stopping(&self) {
+        let mut stop_at = self.stop_at.subscribe();
+        // The sender lives as long as this state.
+        let until = match stop_at.wait_for(Option::is_some).await {
+            Ok(until) => *until,
+            Err(_) => None,
+        };
+        match until {
+            Some(until) => tokio::time::sleep_until((until - RESPONSE_TIME).into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Refuses all calls from now on and closes each connection after its next response.
     pub(crate) fn close(&self) {
-        self.stop_at.store(Some(Arc::new(Instant::now())));
         self.closing.send_replace(true);
     }
 
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -145,6 +145,11 @@
         self.settings.keys().cloned().collect()
     }
 
+    /// Returns the id of a running process.
+    pub fn process_id(&self, name: &str) -> u32 {
+        self.running[name].id()
+    }
+
     /// Returns whether a process has been started and neither killed nor waited for.
     pub fn is_started(&self, name: &str) -> bool {
         self.running.contains_key(name)
@@ -165,6 +170,18 @@
         advertised
     }
 
+    /// Restarts a node with another time between SIGTERM and its forced end, in seconds.
+    pub fn set_grace(&mut self, node: &str, grace_s: f64) {
+        self.kill(node);
+        let path = &self.settings[node];
+        let text = std::fs::read_to_string(path).expect("the settings exist");
+        let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        settings["node"]["stop_ms"] = Value::Null;
+        settings["node"]["grace_s"] = json!(grace_s);
+        std::fs::write(path, settings.to_string()).expect("the file can be written");
+        self.start_process(node);
+    }
+
     /// Starts a process that is not running.
     pub fn start_process(&mut self, name: &str) {
         let arguments = ["--settings".to_owned(), self.settings[name].clone()];
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -47,6 +47,15 @@
         /// Time before each response.
         delay: Duration,
     },
+    /// Responds with success after a delay, which is a longer one for a request whose head contains `text`.
+    SlowOn {
+        /// Text in the head of the request, in lower case.
+        text: &'static str,
+        /// Time before the response to such a request.
+        slow: Duration,
+        /// Time before each other response.
+        delay: Duration,
+    },
     /// Responds with success after a delay, but never to a request whose head contains `text`.
     HangOn {
         /// Text in the head of the request, in lower case.
@@ -222,6 +231,10 @@
                 TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
                     return self.crash();
                 }
+                TargetBehavior::SlowOn { text, slow, delay } => {
+                    std::thread::sleep(if head.contains(text) { slow } else { delay });
+                    respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
+                }
                 TargetBehavior::HangOn { text, .. } if head.contains(text) => {
                     // The read returns when the peer closes the connection.
                     let _closed = stream.read(&mut [0]);
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -35,7 +35,7 @@
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
 pub use move_policy::{MoveEvidence, MoveStage, MoveStep, Regression, Side, next_step};
-pub use planned_stop::time_before_stop;
+pub use planned_stop::{RESPONSE_TIME, time_before_stop};
 pub use progress::{ProgressReporter, ProgressTracker, VersionProgress, ZoneProgress};
 pub use quarantine::{Quarantine, Suspicion};
 pub use registry::{RemoteMerge, TargetRegistry};
--- a/crates/traffic/src/planned_stop.rs
+++ b/crates/traffic/src/planned_stop.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Time that the last responses take before the process ends.
-const RESPONSE_TIME: Duration = Duration::from_millis(100);
+pub const RESPONSE_TIME: Duration = Duration::from_millis(100);
 
 /// Returns how long a call may take that has `time` until its deadline, on a node whose process ends after `left`.
 ///
