Soak: probes of the configuration in force at nodes, pauses, processor quotas

The soak checked what members show, not what nodes apply. Each version now has a route of its own, and probers call the routes of recent versions at all nodes: a version must be in force 2 s after its confirmation at processes in touch (7 s beside disturbances of a minority of the members), a node never goes back, a refused version is in force nowhere.

--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -23,6 +23,15 @@
     /// number of nodes, each with a target
     #[argh(option, default = "4")]
     nodes: usize,
+    /// pauses of up to 9 s between the faults, and 800 routes without calls
+    #[argh(switch)]
+    calm: bool,
+    /// share of a processor that each member may use; 0 means no limit
+    #[argh(option, default = "0.0")]
+    member_share: f64,
+    /// the same for each node
+    #[argh(option, default = "0.0")]
+    node_share: f64,
     /// folder for the logs of seeds that fail
     #[argh(option)]
     logs: Option<String>,
@@ -32,12 +41,17 @@
     let arguments: Arguments = argh::from_env();
     let mut failed = Vec::new();
     for seed in arguments.first..arguments.first + arguments.seeds {
-        let report = run_soak(SoakOptions {
-            seed,
-            fault_duration: Duration::from_secs(arguments.seconds),
-            members: arguments.members,
-            nodes: arguments.nodes,
-        });
+        let options = match arguments.calm {
+            true => SoakOptions::calm(seed, arguments.members, arguments.nodes),
+            false => SoakOptions {
+                members: arguments.members,
+                nodes: arguments.nodes,
+                ..SoakOptions::short(seed)
+            },
+        };
+        let fault_duration = Duration::from_secs(arguments.seconds);
+        let (member_share, node_share) = (arguments.member_share, arguments.node_share);
+        let report = run_soak(SoakOptions { fault_duration, member_share, node_share, ..options });
         println!("{report}");
         if report.violations.is_empty() {
             continue;
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -3,7 +3,9 @@
 
 mod backend;
 mod load;
+mod probes;
 mod proxy;
+mod throttle;
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -16,20 +18,24 @@
 use rand::{Rng, SeedableRng};
 
 use self::backend::{Backend, RunCounts};
-use self::load::{Observations, Shared, lock};
+use self::load::{OPERATORS, Observations, Shared, lock};
+use self::probes::Disturbance;
 pub use self::proxy::{Proxy, ProxyFault};
+use self::throttle::Throttle;
 use crate::plaintext_site::{PlaintextSite, request, request_with_redirect};
 
 /// Number of threads that send calls.
 const CALLERS: u64 = 4;
-/// Number of operators that submit versions concurrently.
-const OPERATORS: u64 = 2;
+/// Number of threads that probe the configuration in force at the nodes.
+const PROBERS: u64 = 4;
 /// Longest time until the site serves again after the last fault has ended.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Shortest time between two wipes; the member wiped first must have been replaced by then.
 const MIN_WIPE_INTERVAL: Duration = Duration::from_secs(9);
 /// Time after its start within which a process may not have installed its signal handlers yet.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(300);
+/// Interval of the checks for faults that are to end.
+const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay that [`Fault::Delay`] adds to a link.
 const LINK_DELAY: Duration = Duration::from_millis(60);
 
@@ -44,12 +50,45 @@
     pub members: usize,
     /// Number of nodes, each with a target.
     pub nodes: usize,
+    /// Longest pause between two faults.
+    pub fault_interval: Duration,
+    /// Mean time between two submissions of one operator.
+    pub submit_interval: Duration,
+    /// Number of routes that get no calls.
+    pub idle_routes: usize,
+    /// Share of a processor that each member may use; 0 means no limit.
+    pub member_share: f64,
+    /// The same for each node.
+    pub node_share: f64,
 }
 
 impl SoakOptions {
     /// A site of three members and four nodes with 8 s of faults.
     pub fn short(seed: u64) -> Self {
-        Self { seed, fault_duration: Duration::from_secs(8), members: 3, nodes: 4 }
+        Self {
+            seed,
+            fault_duration: Duration::from_secs(8),
+            members: 3,
+            nodes: 4,
+            fault_interval: Duration::from_millis(600),
+            submit_interval: Duration::from_millis(150),
+            idle_routes: 0,
+            member_share: 0.0,
+            node_share: 0.0,
+        }
+    }
+
+    /// A site with `members` and `nodes` and pauses between the faults, in which versions must be in force in time.
+    pub fn calm(seed: u64, members: usize, nodes: usize) -> Self {
+        Self {
+            fault_duration: Duration::from_secs(40),
+            members,
+            nodes,
+            fault_interval: Duration::from_secs(9),
+            submit_interval: Duration::from_millis(800),
+            idle_routes: 800,
+            ..Self::short(seed)
+        }
     }
 }
 
@@ -137,9 +176,38 @@
     started_at: Instant,
     wiped_at: Option<Instant>,
     start_times: BTreeMap<String, Instant>,
+    disturbances: Vec<Disturbance>,
+    options: SoakOptions,
+    throttle: Throttle,
 }
 
 impl Soak {
+    /// Applies the processor limit of a running process.
+    fn throttle(&self, name: &str) {
+        let share = match name.starts_with("core") {
+            true => self.options.member_share,
+            false => self.options.node_share,
+        };
+        self.throttle.limit(name, self.site.process_id(name), share);
+    }
+
+    /// Records that a process is disturbed from now on.
+    fn begin_disturbance(&mut self, process: &str, is_restart: bool) {
+        self.disturbances.push(Disturbance {
+            process: process.to_owned(),
+            began_at: Instant::now(),
+            ended_at: None,
+            is_restart,
+        });
+    }
+
+    /// Records that the disturbances of a process are over.
+    fn end_disturbances(&mut self, process: &str) {
+        let ended_at = Some(Instant::now());
+        let own = self.disturbances.iter_mut().filter(|d| d.process == process);
+        own.filter(|d| d.ended_at.is_none()).for_each(|d| d.ended_at = ended_at);
+    }
+
     fn is_starting(&self, name: &str) -> bool {
         self.start_times.get(name).is_some_and(|at| at.elapsed() < SIGNAL_SETUP_TIME)
     }
@@ -175,6 +243,11 @@
         if self.has_pending_recovery(&name) || !self.site.is_started(&name) {
             return;
         }
+        let is_restart = matches!(fault, Fault::Kill | Fault::Terminate | Fault::Wipe);
+        self.begin_disturbance(&name, is_restart);
+        if is_restart || fault == Fault::Pause {
+            self.throttle.release(&name);
+        }
         match fault {
             Fault::Kill => {
                 self.site.kill(&name);
@@ -183,6 +256,8 @@
             Fault::KillAllMembers => {
                 for member in names.iter().filter(|name| name.starts_with("core")) {
                     if self.site.is_started(member) && !self.has_pending_recovery(member) {
+                        self.begin_disturbance(member, true);
+                        self.throttle.release(member);
                         self.site.kill(member);
                         self.schedule_recovery(Recovery::Start(member.clone()));
                     }
@@ -198,7 +273,7 @@
                 self.schedule_recovery(Recovery::Start(name.clone()));
             }
             // SIGHUP would end a process that has not installed its signal handlers yet.
-            Fault::Reload if self.is_starting(&name) => return,
+            Fault::Reload if self.is_starting(&name) => return self.end_disturbances(&name),
             Fault::Reload => self.site.signal(&name, "-HUP"),
             Fault::Wipe if is_member && self.can_wipe() => {
                 self.site.kill(&name);
@@ -207,7 +282,7 @@
                 self.wiped_at = Some(Instant::now());
                 self.schedule_recovery(Recovery::Start(name.clone()));
             }
-            Fault::Wipe => return,
+            Fault::Wipe => return self.end_disturbances(&name),
             Fault::Delay => self.set_proxy_fault(&name, ProxyFault::Delay(LINK_DELAY)),
             Fault::BlockInbound => self.set_proxy_fault(&name, ProxyFault::BlockInbound),
             Fault::BlockOutbound => self.set_proxy_fault(&name, ProxyFault::BlockOutbound),
@@ -219,6 +294,9 @@
                 self.proxies[&name].iter().for_each(Proxy::stall_connections)
             }
         }
+        if !self.has_pending_recovery(&name) {
+            self.end_disturbances(&name);
+        }
         self.record_fault(format!("{fault:?} {name}"));
     }
 
@@ -244,11 +322,18 @@
             match recovery {
                 Recovery::Start(name) => {
                     self.site.start_process(&name);
+                    self.throttle(&name);
+                    self.end_disturbances(&name);
                     self.start_times.insert(name, now);
                 }
-                Recovery::Resume(name) => self.site.signal(&name, "-CONT"),
+                Recovery::Resume(name) => {
+                    self.site.signal(&name, "-CONT");
+                    self.throttle(&name);
+                    self.end_disturbances(&name);
+                }
                 Recovery::ClearProxyFault(name) => {
-                    self.proxies[&name].iter().for_each(|p| p.set_fault(ProxyFault::None))
+                    self.proxies[&name].iter().for_each(|p| p.set_fault(ProxyFault::None));
+                    self.end_disturbances(&name);
                 }
             }
         }
@@ -287,17 +372,35 @@
         started_at: Instant::now(),
         wiped_at: None,
         start_times: BTreeMap::new(),
+        disturbances: Vec::new(),
+        options,
+        throttle: Throttle::default(),
     };
     let (observations, is_stopped) = (Arc::clone(&shared.0), Arc::clone(&shared.1));
-    submit_first_version(&soak.site, &observations);
-    let threads = start_load(&members, &callers, options.seed, &shared);
+    submit_first_version(&soak.site, &observations, options.idle_routes);
+    let mut threads = start_load(&members, &callers, options, &shared);
+    let probed: Vec<_> = nodes.iter().cloned().zip(callers.iter().cloned()).collect();
+    for number in 0..PROBERS {
+        let (probed, (observations, is_stopped)) = (probed.clone(), shared.clone());
+        threads.push(std::thread::spawn(move || {
+            probes::probe_nodes(&probed, options.seed ^ number, &observations, &is_stopped);
+        }));
+    }
+    let (throttle, stop) = (soak.throttle.clone(), Arc::clone(&is_stopped));
+    threads.push(std::thread::spawn(move || throttle.run(&stop)));
+    for name in soak.site.names() {
+        soak.throttle(&name);
+    }
     soak.started_at = Instant::now();
     while soak.started_at.elapsed() < options.fault_duration {
         let fault = *FAULTS.choose(&mut soak.rng).expect("the list of faults is not empty");
         soak.inject(fault);
-        let pause = soak.rng.random_range(30..600);
-        std::thread::sleep(Duration::from_millis(pause));
-        soak.recover(false);
+        let longest = options.fault_interval.as_millis() as u64;
+        let until = Instant::now() + Duration::from_millis(soak.rng.random_range(30..longest));
+        while Instant::now() < until {
+            std::thread::sleep(RECOVERY_POLL_INTERVAL);
+            soak.recover(false);
+        }
     }
     soak.recover(true);
     check_recovery(&soak.site, &members, &callers, &observations);
@@ -308,6 +411,7 @@
         }
     }
     check_run_counts(&run_counts, &observations);
+    probes::check_probes(&soak.disturbances, options.members, &observations);
     soak.proxies.values().flatten().for_each(Proxy::stop);
     let violations = observations.violations();
     SoakReport {
@@ -322,12 +426,13 @@
 }
 
 /// Submits the first version and waits until a node has it in force.
-fn submit_first_version(site: &PlaintextSite, observations: &Observations) {
-    let document = load::document(1, 0);
+fn submit_first_version(site: &PlaintextSite, observations: &Observations, idle_routes: usize) {
+    let document = load::document(1, 0, &[], idle_routes);
     let response =
         site.operator_request("PUT", "/v1/revision", "if-match: 0\r\n", &document.to_string());
     assert!(matches!(response.status, 200 | 201), "the first version is accepted: {response:?}");
-    lock(&observations.confirmed).insert(1, load::Confirmed { at: Instant::now(), document });
+    let first = load::Confirmed { at: Instant::now(), document, chain: vec![1] };
+    lock(&observations.confirmed).insert(1, first);
     site.wait("a ready node", |site| {
         let ready = request(&site.addresses("node-1").ready, "GET", "/readyz", "", "");
         (ready.status == 200).then_some(())
@@ -337,25 +442,25 @@
 fn start_load(
     members: &[String],
     callers: &[String],
-    seed: u64,
+    options: SoakOptions,
     shared: &Shared,
 ) -> Vec<std::thread::JoinHandle<()>> {
     let mut threads = Vec::new();
     for number in 0..CALLERS {
         let (callers, (observations, is_stopped)) = (callers.to_vec(), shared.clone());
         threads.push(std::thread::spawn(move || {
-            load::send_calls(&callers, number, seed, &observations, &is_stopped);
+            load::send_calls(&callers, number, options.seed, &observations, &is_stopped);
         }));
     }
     for author in 1..=OPERATORS {
         let (members, (observations, is_stopped)) = (members.to_vec(), shared.clone());
         threads.push(std::thread::spawn(move || {
-            load::submit_versions(&members, author, seed, &observations, &is_stopped);
+            load::submit_versions(&members, author, options, &observations, &is_stopped);
         }));
     }
     let (members, (observations, is_stopped)) = (members.to_vec(), shared.clone());
     threads.push(std::thread::spawn(move || {
-        load::read_versions(&members, seed, &observations, &is_stopped)
+        load::read_versions(&members, options.seed, &observations, &is_stopped)
     }));
     threads
 }
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -12,11 +12,15 @@
 use serde_json::{Value, json};
 
 use crate::plaintext_site::{RawResponse, request_with_redirect};
+use crate::soak::SoakOptions;
+use crate::soak::probes::Probe;
 
 /// Interval between the calls of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(8);
-/// Interval between the submissions of one operator.
+/// Time between two attempts of one submission.
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(150);
+/// Number of operators that submit versions concurrently.
+pub(super) const OPERATORS: u64 = 2;
 /// Timeout of one response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time after its confirmation from which every read must return the version or a newer one.
@@ -29,6 +33,8 @@
 pub(super) struct Confirmed {
     pub(super) at: Instant,
     pub(super) document: Value,
+    /// The version and those that it builds on, oldest first.
+    pub(super) chain: Vec<u64>,
 }
 
 /// What callers and operators have observed.
@@ -40,6 +46,10 @@
     pub(super) at_most_once: Mutex<BTreeMap<String, bool>>,
     /// Confirmed versions by number.
     pub(super) confirmed: Mutex<BTreeMap<u64, Confirmed>>,
+    /// Versions whose submission was refused, with the time of the refusal.
+    pub(super) refused: Mutex<BTreeMap<u64, Instant>>,
+    /// What nodes have shown of their configuration.
+    pub(super) probes: Mutex<Vec<Probe>>,
     pub(super) calls: AtomicU64,
     pub(super) answered: AtomicU64,
 }
@@ -58,8 +68,35 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Number of the latest versions whose own route a version has.
+pub(super) const KEPT_ROUTES: usize = 20;
+
+/// Returns the path prefix of the route that a version adds.
+pub(super) fn own_prefix(number: u64) -> String {
+    format!("/v-{number}/")
+}
+
 /// Returns the configuration that an operator submits as a version.
-pub(super) fn document(number: u64, author: u64) -> Value {
+///
+/// `chain` lists the versions that it builds on, oldest first. Each version adds a route of its own and keeps those of the
+/// versions before it, so that a node's answers show how new its configuration is.
+pub(super) fn document(number: u64, author: u64, chain: &[u64], idle_routes: usize) -> Value {
+    let mut document = base_document(number, author);
+    let route = |prefix: String| {
+        json!({ "host": "c.example", "prefix": prefix, "semantics": "idempotent",
+            "timeout_ms": 2_000, "objective_ms": 500, "rank": 2, "attempts": 2, "service": "desk" })
+    };
+    let oldest = (chain.len() + 1).saturating_sub(KEPT_ROUTES);
+    for version in chain.iter().skip(oldest).chain([&number]) {
+        document["routes"][format!("own-{version}")] = route(own_prefix(*version));
+    }
+    for index in 0..idle_routes {
+        document["routes"][format!("idle-{index}")] = route(format!("/idle-{index}/"));
+    }
+    document
+}
+
+fn base_document(number: u64, author: u64) -> Value {
     json!({
         "version": number,
         "services": { "desk": { "health": "/health", "connections": 50, "protocol": "h1", "tls": false } },
@@ -165,17 +202,23 @@
 pub(super) fn submit_versions(
     members: &[String],
     author: u64,
-    seed: u64,
+    options: SoakOptions,
     observations: &Observations,
     is_stopped: &AtomicBool,
 ) {
-    let mut rng = SmallRng::seed_from_u64(seed ^ (author << 32));
+    let mut rng = SmallRng::seed_from_u64(options.seed ^ (author << 32));
     while !is_stopped.load(Ordering::Acquire) {
-        std::thread::sleep(SUBMIT_INTERVAL.mul_f64(rng.random_range(0.5..1.5)));
-        let base = lock(&observations.confirmed).keys().next_back().copied().unwrap_or(0);
-        let number = base + rng.random_range(1..4);
-        let document = document(number, author);
+        std::thread::sleep(options.submit_interval.mul_f64(rng.random_range(0.5..1.5)));
+        let chain = {
+            let confirmed = lock(&observations.confirmed);
+            confirmed.last_key_value().map(|(_, last)| last.chain.clone()).unwrap_or_default()
+        };
+        let base = chain.last().copied().unwrap_or(0);
+        // Authors never choose the same number: a refused one is in force nowhere.
+        let number = (base / OPERATORS + rng.random_range(1..3)) * OPERATORS + author - 1;
+        let document = document(number, author, &chain, options.idle_routes);
         let mut index = rng.random_range(0..members.len());
+        let mut is_unclear = false;
         for _ in 0..SUBMIT_ATTEMPTS {
             let member = &members[index % members.len()];
             let headers = format!("if-match: {base}\r\n");
@@ -188,20 +231,29 @@
             );
             match response.status {
                 200 | 201 => {
-                    record_confirmation(observations, number, document);
+                    let chain = chain.iter().copied().chain([number]).collect();
+                    record_confirmation(observations, number, document, chain);
                     break;
                 }
-                400..500 if response.status != 408 && response.status != 429 => break,
-                _ => index += 1,
+                400..500 if response.status != 408 && response.status != 429 => {
+                    if !is_unclear {
+                        lock(&observations.refused).insert(number, Instant::now());
+                    }
+                    break;
+                }
+                _ => {
+                    is_unclear = true;
+                    index += 1;
+                }
             }
             std::thread::sleep(SUBMIT_INTERVAL);
         }
     }
 }
 
-fn record_confirmation(observations: &Observations, number: u64, document: Value) {
+fn record_confirmation(observations: &Observations, number: u64, document: Value, chain: Vec<u64>) {
     let mut confirmed = lock(&observations.confirmed);
-    let new = Confirmed { at: Instant::now(), document };
+    let new = Confirmed { at: Instant::now(), document, chain };
     let first = confirmed.entry(number).or_insert_with(|| new.clone());
     if first.document != new.document {
         observations.record_violation(format!(
--- /dev/null
+++ b/crates/testing/src/soak/probes.rs
@@ -0,0 +1,183 @@
+//! Probes of the configuration that is in force at each node.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::plaintext_site::request;
+use crate::soak::load::{KEPT_ROUTES, Observations, STALENESS_LIMIT, lock, own_prefix};
+
+/// Time between two probes of one prober.
+const PROBE_INTERVAL: Duration = Duration::from_millis(15);
+/// Time without a disturbance after which bounds hold for a process.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time by which disturbances of a minority of the members may delay a version.
+const UNSTABLE_SLACK: Duration = Duration::from_secs(5);
+/// Time after which a node never handles a call by an older version than it has shown.
+const REGRESSION_SLACK: Duration = Duration::from_millis(250);
+/// The same for a node that was paused or whose links were disturbed in the meantime.
+const DISTURBED_SLACK: Duration = Duration::from_secs(2);
+
+/// What a node has shown of one version.
+#[derive(Debug, Clone)]
+pub(super) struct Probe {
+    node: String,
+    /// Version whose own route was called.
+    version: u64,
+    sent_at: Instant,
+    answered_at: Instant,
+    /// Whether the route was there; `None` for an answer that says nothing of that.
+    has_route: Option<bool>,
+}
+
+/// A time in which a process or its links were disturbed.
+#[derive(Debug, Clone)]
+pub(super) struct Disturbance {
+    pub(super) process: String,
+    pub(super) began_at: Instant,
+    /// `None` while it goes on.
+    pub(super) ended_at: Option<Instant>,
+    /// Whether the process was started anew at its end.
+    pub(super) is_restart: bool,
+}
+
+impl Disturbance {
+    fn overlaps(&self, from: Instant, to: Instant) -> bool {
+        self.began_at <= to && self.ended_at.is_none_or(|ended_at| ended_at >= from)
+    }
+}
+
+/// Calls the routes of recent versions at all nodes, given by name and address, until `is_stopped` is set.
+pub(super) fn probe_nodes(
+    nodes: &[(String, String)],
+    seed: u64,
+    observations: &Observations,
+    is_stopped: &AtomicBool,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut count = 0_u64;
+    while !is_stopped.load(Ordering::Acquire) {
+        std::thread::sleep(PROBE_INTERVAL);
+        let recent: Vec<u64> = {
+            let confirmed = lock(&observations.confirmed);
+            let refused = lock(&observations.refused);
+            let newest = confirmed.keys().rev().take(3);
+            newest.chain(refused.keys().rev().take(1)).copied().collect()
+        };
+        let (node, address) = &nodes[rng.random_range(0..nodes.len())];
+        let version = recent[rng.random_range(0..recent.len())];
+        count += 1;
+        let headers = format!("host: c.example\r\nx-call: p{seed}-{count}\r\nx-left: 1000\r\n");
+        let path = own_prefix(version);
+        let sent_at = Instant::now();
+        let response = request(address, "GET", &path, &headers, "");
+        let has_route = match response.status {
+            404 => Some(false),
+            200 => Some(true),
+            _ => None,
+        };
+        let (node, answered_at) = (node.clone(), Instant::now());
+        lock(&observations.probes).push(Probe { node, version, sent_at, answered_at, has_route });
+    }
+}
+
+/// Checks all probes against the versions that were confirmed or refused.
+pub(super) fn check_probes(
+    disturbances: &[Disturbance],
+    members: usize,
+    observations: &Observations,
+) {
+    let probes = std::mem::take(&mut *lock(&observations.probes));
+    let mut shown: BTreeMap<&str, Vec<&Probe>> = BTreeMap::new();
+    for probe in &probes {
+        match probe.has_route {
+            Some(true) => {
+                check_refused(probe, observations);
+                shown.entry(&probe.node).or_default().push(probe);
+            }
+            Some(false) => {
+                let earlier = shown.get(probe.node.as_str()).map_or(&[][..], Vec::as_slice);
+                check_missing(probe, earlier, disturbances, members, observations);
+            }
+            None => {}
+        }
+    }
+}
+
+fn check_refused(probe: &Probe, observations: &Observations) {
+    let refused_at = lock(&observations.refused).get(&probe.version).copied();
+    let is_confirmed = lock(&observations.confirmed).contains_key(&probe.version);
+    if refused_at.is_some_and(|at| at < probe.sent_at) && !is_confirmed {
+        observations.record_violation(format!(
+            "{} has version {} in force, which was refused",
+            probe.node, probe.version
+        ));
+    }
+}
+
+/// Checks a probe that found no route of a version.
+fn check_missing(
+    probe: &Probe,
+    earlier: &[&Probe],
+    disturbances: &[Disturbance],
+    members: usize,
+    observations: &Observations,
+) {
+    let confirmed = lock(&observations.confirmed);
+    let Some(version) = confirmed.get(&probe.version) else { return };
+    // A newer version may have dropped the route, also one whose submission got no clear answer.
+    let newer = confirmed.range(probe.version + 1..).count();
+    let confirmed_at = version.at;
+    drop(confirmed);
+    if newer + 3 >= KEPT_ROUTES {
+        return;
+    }
+    let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
+    let since = |time: Duration| probe.sent_at.checked_sub(time).unwrap_or(probe.sent_at);
+    let is_calm =
+        |disturbance: &Disturbance| !disturbance.overlaps(since(CONTACT_TIME), probe.answered_at);
+    let is_in_touch = disturbances.iter().filter(own).all(is_calm);
+    let disturbed_members = |from: Instant| {
+        let is_member = |disturbance: &&Disturbance| disturbance.process.starts_with("core");
+        let disturbed = disturbances.iter().filter(is_member);
+        let disturbed = disturbed.filter(|d| d.overlaps(from, probe.answered_at));
+        disturbed.map(|d| d.process.as_str()).collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let bound = match () {
+        () if !is_in_touch => None,
+        () if disturbed_members(since(CONTACT_TIME)) == 0 => Some(STALENESS_LIMIT),
+        () if disturbed_members(confirmed_at) * 2 < members => {
+            Some(STALENESS_LIMIT + UNSTABLE_SLACK)
+        }
+        () => None,
+    };
+    let age = probe.sent_at.saturating_duration_since(confirmed_at);
+    if bound.is_some_and(|bound| age > bound) {
+        observations.record_violation(format!(
+            "{} lacks version {} {:.2} s after its confirmation",
+            probe.node,
+            probe.version,
+            age.as_secs_f64()
+        ));
+    }
+    let regressed = earlier.iter().rev().find(|other| {
+        let between = |d: &&Disturbance| d.overlaps(other.sent_at, probe.answered_at);
+        let mut between = disturbances.iter().filter(own).filter(between).peekable();
+        let slack = if between.peek().is_some() { DISTURBED_SLACK } else { REGRESSION_SLACK };
+        other.version >= probe.version
+            && other.answered_at + slack < probe.sent_at
+            && !between.any(|disturbance| disturbance.is_restart)
+    });
+    if let Some(other) = regressed {
+        observations.record_violation(format!(
+            "{} lacks version {}, though it had shown version {} {:.2} s before",
+            probe.node,
+            probe.version,
+            other.version,
+            (probe.sent_at - other.answered_at).as_secs_f64()
+        ));
+    }
+}
