--- a/crates/cli/tests/planned_stops.rs
+++ b/crates/cli/tests/planned_stops.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use kingcuplift_testing::{
-    PlaintextSite, ScriptedTarget, TargetBehavior, is_node_ready, put_revision, report_desk,
+    PIECE_BYTES, PlaintextSite, ScriptedTarget, TargetBehavior, is_node_ready, put_revision,
+    report_desk, request,
 };
 use rstest::rstest;
 use serde_json::json;
@@ -198,3 +199,26 @@
     }
     assert!(cut.is_empty(), "{} requests cut:\n{}", cut.len(), cut.join("\n"));
 }
+
+/// What follows after the first 128 KiB of an answer was not counted as in progress: the node ended in the middle.
+#[rstest]
+#[case::at_own_target(0)]
+#[case::at_other_target(1)]
+fn long_answer_is_whole(#[case] target: usize) {
+    let pieces = TargetBehavior::InPieces { count: 10, pause: Duration::from_millis(420) };
+    let targets: [_; 2] = std::array::from_fn(|_| ScriptedTarget::start(pieces.clone()));
+    let mut site = start_site(&targets);
+    // The other target leaves, so that the calls go to this one.
+    let leaving = json!({ "state": "leaving", "sequence": 9 });
+    let other = 1 - target;
+    report_desk(&site, &format!("node-{}", other + 1), &targets[other], &leaving);
+    std::thread::sleep(Duration::from_millis(500));
+    let headers = "host: a.example\r\nx-call: c-1\r\nx-left: 9000\r\n";
+    let address = site.addresses("node-1").callers.clone();
+    let caller = std::thread::spawn(move || request(&address, "GET", "/read/1", headers, ""));
+    std::thread::sleep(Duration::from_millis(600));
+    site.signal("node-1", "-TERM");
+    assert!(site.wait_exited("node-1"), "the node ends by itself");
+    let response = caller.join().expect("the caller ends");
+    assert_eq!((response.status, response.body.len()), (200, 10 * PIECE_BYTES));
+}
--- a/crates/daemon/src/node/body.rs
+++ b/crates/daemon/src/node/body.rs
@@ -11,6 +11,8 @@
 use kingcuplift_core::{ByteSize, ResultCode};
 use tokio::time::Sleep;
 
+use crate::node::shared::CallGuard;
+
 /// Largest body that is buffered; a call with a larger one can't be retried.
 const MAX_BUFFERED: ByteSize = ByteSize::kib(128);
 
@@ -31,6 +33,8 @@
         length: Option<u64>,
         /// Fires when the rest must have arrived; `None` means that there is no such time.
         deadline: Option<Pin<Box<Sleep>>>,
+        /// Counts the call as in progress until the body has ended or is dropped.
+        call: Option<CallGuard>,
     },
 }
 
@@ -90,6 +94,15 @@
         self
     }
 
+    /// Counts a call as in progress until its response's body has been passed on, or has broken off.
+    #[must_use]
+    pub(crate) fn with_guard(mut self, guard: CallGuard) -> Self {
+        if let Self::Streaming { call, .. } = &mut self {
+            *call = Some(guard);
+        }
+        self
+    }
+
     /// Reads a body completely if it is small; a larger one is returned for streaming.
     pub(crate) async fn read(mut incoming: Incoming, limit: u64) -> Result<Self, BodyError> {
         let length = incoming.size_hint().exact();
@@ -104,6 +117,7 @@
                     remaining: limit,
                     length: Some(length),
                     deadline: None,
+                    call: None,
                 });
             }
             _ => {}
@@ -129,7 +143,14 @@
                 let prefix = if buffer.is_empty() { first } else { Some(buffer.freeze()) };
                 let remaining = limit - size;
                 let rest = Box::new(incoming);
-                return Ok(Self::Streaming { prefix, rest, remaining, length, deadline: None });
+                return Ok(Self::Streaming {
+                    prefix,
+                    rest,
+                    remaining,
+                    length,
+                    deadline: None,
+                    call: None,
+                });
             }
         }
         match buffer.is_empty() {
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -56,7 +56,7 @@
         result = process(&worker, request, started_at, &is_sent) => result,
         () = worker.shared.stopping() => Err(error_at_stop(is_sent.get())),
     };
-    drop(guard);
+    let result = result.map(|response| response.with_guard(guard));
     let code = result.as_ref().err().map_or(0, |error| error.code.number());
     metrics::CALLS.with_label_values(&[code.to_string()]).inc();
     metrics::CALL_TIME.observe(started_at.elapsed().as_secs_f64());
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -12,6 +12,7 @@
 use crate::node::body::Body;
 use crate::node::headers::{self, HeaderNames, strip_hop_by_hop};
 use crate::node::pool::Pool;
+use crate::node::shared::CallGuard;
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BODY: ByteSize = ByteSize::mib(256);
@@ -83,6 +84,13 @@
     pub(crate) body: Body,
 }
 
+impl TargetResponse {
+    /// Counts the call as in progress until the response has been passed on.
+    pub(crate) fn with_guard(self, guard: CallGuard) -> Self {
+        Self { body: self.body.with_guard(guard), ..self }
+    }
+}
+
 /// Reason why a call has no response from a target.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CallError {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -101,10 +101,10 @@
         }
         Some(local) => admit(worker, key, &local, call).await,
     };
-    drop(guard);
     let code = outcome.result.as_ref().err().map_or(0, |error| error.code.number());
     metrics::TARGET_CALLS.with_label_values(&[code.to_string()]).inc();
-    outcome
+    let result = outcome.result.map(|response| response.with_guard(guard));
+    AttemptOutcome { result, ..outcome }
 }
 
 async fn admit(
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -23,6 +23,6 @@
     NodeAddresses, PlaintextSite, ProxiedAddress, RawResponse, request, send_request,
 };
 pub use process::binary;
-pub use scripted::{ReceivedRequest, ScriptedTarget, TargetBehavior};
+pub use scripted::{PIECE_BYTES, ReceivedRequest, ScriptedTarget, TargetBehavior};
 pub use site::{Response, Site, SiteBuilder};
 pub use soak::{Proxy, ProxyFault, SoakOptions, SoakReport, run_soak};
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -56,6 +56,13 @@
         /// Time before each other response.
         delay: Duration,
     },
+    /// Responds with success; the body comes in pieces of [`PIECE_BYTES`], with a pause before each.
+    InPieces {
+        /// Number of pieces.
+        count: usize,
+        /// Time before each piece.
+        pause: Duration,
+    },
     /// Responds with success after a delay, but never to a request whose head contains `text`.
     HangOn {
         /// Text in the head of the request, in lower case.
@@ -76,6 +83,8 @@
     },
 }
 
+/// Size of the pieces of [`TargetBehavior::InPieces`].
+pub const PIECE_BYTES: usize = 40_000;
 /// Repetitions of the filler of an endless response that are sent at a time if there is no pause.
 const FILLER_BATCH: usize = 1_024;
 
@@ -231,6 +240,18 @@
                 TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
                     return self.crash();
                 }
+                TargetBehavior::InPieces { count, pause } => {
+                    let length = PIECE_BYTES * count;
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nx-call: {id}\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n"
+                    );
+                    let mut written = stream.write_all(head.as_bytes());
+                    for _ in 0..count {
+                        std::thread::sleep(pause);
+                        written = written.and_then(|()| stream.write_all(&[b'a'; PIECE_BYTES]));
+                    }
+                    written
+                }
                 TargetBehavior::SlowOn { text, slow, delay } => {
                     std::thread::sleep(if head.contains(text) { slow } else { delay });
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
