--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -52,6 +52,8 @@
     pub nodes: usize,
     /// Longest pause between two faults.
     pub fault_interval: Duration,
+    /// Longest time that a fault lasts.
+    pub longest_fault: Duration,
     /// Mean time between two submissions of one operator.
     pub submit_interval: Duration,
     /// Number of routes that get no calls.
@@ -71,6 +73,7 @@
             members: 3,
             nodes: 4,
             fault_interval: Duration::from_millis(600),
+            longest_fault: Duration::from_millis(2_500),
             submit_interval: Duration::from_millis(150),
             idle_routes: 0,
             member_share: 0.0,
@@ -85,6 +88,7 @@
             members,
             nodes,
             fault_interval: Duration::from_secs(9),
+            longest_fault: Duration::from_secs(9),
             submit_interval: Duration::from_millis(800),
             idle_routes: 800,
             ..Self::short(seed)
@@ -192,12 +196,15 @@
     }
 
     /// Records that a process is disturbed from now on.
-    fn begin_disturbance(&mut self, process: &str, is_restart: bool) {
+    fn begin_disturbance(&mut self, process: &str, fault: Fault) {
+        let is_restart =
+            matches!(fault, Fault::Kill | Fault::KillAllMembers | Fault::Terminate | Fault::Wipe);
         self.disturbances.push(Disturbance {
             process: process.to_owned(),
             began_at: Instant::now(),
             ended_at: None,
             is_restart,
+            is_absent: is_restart || fault == Fault::Pause,
         });
     }
 
@@ -225,7 +232,7 @@
     }
 
     fn schedule_recovery(&mut self, recovery: Recovery) {
-        let millis = self.rng.random_range(150..2_500);
+        let millis = self.rng.random_range(150..self.options.longest_fault.as_millis() as u64);
         self.pending_recoveries.push((Instant::now() + Duration::from_millis(millis), recovery));
     }
 
@@ -243,9 +250,10 @@
         if self.has_pending_recovery(&name) || !self.site.is_started(&name) {
             return;
         }
-        let is_restart = matches!(fault, Fault::Kill | Fault::Terminate | Fault::Wipe);
-        self.begin_disturbance(&name, is_restart);
-        if is_restart || fault == Fault::Pause {
+        if fault != Fault::KillAllMembers {
+            self.begin_disturbance(&name, fault);
+        }
+        if matches!(fault, Fault::Kill | Fault::Terminate | Fault::Wipe | Fault::Pause) {
             self.throttle.release(&name);
         }
         match fault {
@@ -256,7 +264,7 @@
             Fault::KillAllMembers => {
                 for member in names.iter().filter(|name| name.starts_with("core")) {
                     if self.site.is_started(member) && !self.has_pending_recovery(member) {
-                        self.begin_disturbance(member, true);
+                        self.begin_disturbance(member, fault);
                         self.throttle.release(member);
                         self.site.kill(member);
                         self.schedule_recovery(Recovery::Start(member.clone()));
--- a/crates/testing/src/soak/probes.rs
+++ b/crates/testing/src/soak/probes.rs
@@ -1,6 +1,6 @@
 //! Probes of the configuration that is in force at each node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -42,9 +42,18 @@
     pub(super) ended_at: Option<Instant>,
     /// Whether the process was started anew at its end.
     pub(super) is_restart: bool,
+    /// Whether the process does nothing meanwhile; the others then go on without it.
+    pub(super) is_absent: bool,
 }
 
 impl Disturbance {
+    /// Returns whether the others had to adapt to the disturbance between `from` and `to`.
+    fn unsettles(&self, from: Instant, to: Instant) -> bool {
+        let is_within = |at: Instant| at >= from && at <= to;
+        let has_edge = is_within(self.began_at) || self.ended_at.is_some_and(is_within);
+        has_edge || (!self.is_absent && self.overlaps(from, to))
+    }
+
     fn overlaps(&self, from: Instant, to: Instant) -> bool {
         self.began_at <= to && self.ended_at.is_none_or(|ended_at| ended_at >= from)
     }
@@ -140,18 +149,22 @@
     let is_calm =
         |disturbance: &Disturbance| !disturbance.overlaps(since(CONTACT_TIME), probe.answered_at);
     let is_in_touch = disturbances.iter().filter(own).all(is_calm);
-    let disturbed_members = |from: Instant| {
-        let is_member = |disturbance: &&Disturbance| disturbance.process.starts_with("core");
+    let is_member = |disturbance: &&Disturbance| disturbance.process.starts_with("core");
+    let has_majority = |from: Instant| {
         let disturbed = disturbances.iter().filter(is_member);
         let disturbed = disturbed.filter(|d| d.overlaps(from, probe.answered_at));
-        disturbed.map(|d| d.process.as_str()).collect::<std::collections::BTreeSet<_>>().len()
+        let processes: BTreeSet<_> = disturbed.map(|d| d.process.as_str()).collect();
+        processes.len() * 2 < members
     };
+    let calm_since = since(CONTACT_TIME);
+    let is_stable = !disturbances
+        .iter()
+        .filter(is_member)
+        .any(|disturbance| disturbance.unsettles(calm_since, probe.answered_at));
     let bound = match () {
         () if !is_in_touch => None,
-        () if disturbed_members(since(CONTACT_TIME)) == 0 => Some(STALENESS_LIMIT),
-        () if disturbed_members(confirmed_at) * 2 < members => {
-            Some(STALENESS_LIMIT + UNSTABLE_SLACK)
-        }
+        () if is_stable && has_majority(calm_since) => Some(STALENESS_LIMIT),
+        () if has_majority(confirmed_at) => Some(STALENESS_LIMIT + UNSTABLE_SLACK),
         () => None,
     };
     let age = probe.sent_at.saturating_duration_since(confirmed_at);
