Moves: a refused step no longer holds up its move (by reading)

A step whose proposal was refused stayed pending, so that the move, also its roll-back, stood still until the next leader. The step's token ends the wait now, whether it is applied or refused. No test: a leader refuses its own step only while it hands over or is full.

--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -188,6 +188,9 @@
             }
             self.relays.fanout.wake_all();
         }
+        if let Some(token) = token {
+            self.moves.end_step(token);
+        }
         let waiting = token.and_then(|token| self.pending_responses.remove(&token));
         if let Some(sender) = waiting {
             // The client may have disconnected; the catalog keeps the outcome for a retry.
@@ -242,6 +245,7 @@
     }
 
     fn refuse(&mut self, token: Token, refusal: Refusal) {
+        self.moves.end_step(token);
         let Some(sender) = self.pending_responses.remove(&token) else { return };
         let (code, detail) = match refusal {
             Refusal::NotLeader => {
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -6,7 +6,7 @@
 use actix::{Handler, Message, ResponseFuture};
 use kingcuplift_config::{Kind, MoveSpec, MoveState, Resource, ResourceKey, Submission};
 use kingcuplift_core::{Event, OperationId, ResultCode, ServiceName, TargetVersion};
-use kingcuplift_quorum::{Event as Input, RoleName};
+use kingcuplift_quorum::{Event as Input, RoleName, Token};
 use kingcuplift_schema::Message as _;
 use kingcuplift_schema::control::{Evidence, Target, TargetState};
 use kingcuplift_traffic::{MoveEvidence, MoveStage, MoveStep, Side, next_step};
@@ -42,8 +42,8 @@
     moved: u16,
     /// Monotonic time when the leader last saw the share change, in milliseconds.
     changed_ms: u64,
-    /// Whether a step has been proposed and is not applied yet.
-    is_step_pending: bool,
+    /// Proposal of a step that is neither applied nor refused yet.
+    pending_step: Option<Token>,
 }
 
 /// Active moves by service.
@@ -72,11 +72,25 @@
                 evidence: MoveEvidence::default(),
                 moved: spec.moved_permille,
                 changed_ms: monotonic_ms(),
-                is_step_pending: false,
+                pending_step: None,
             });
         }
     }
 
+    fn begin_step(&mut self, service: &SmolStr, token: Token) {
+        if let Some(active_move) = self.active.get_mut(service) {
+            active_move.pending_step = Some(token);
+        }
+    }
+
+    /// Permits the next step of the move whose step was proposed with this token: it is applied, or was refused.
+    pub(crate) fn end_step(&mut self, token: Token) {
+        let mut moves = self.active.values_mut();
+        if let Some(active_move) = moves.find(|active| active.pending_step == Some(token)) {
+            active_move.pending_step = None;
+        }
+    }
+
     /// Records evidence from nodes; returns whether any of it is about the new version of an active move.
     fn add_evidence(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
         let mut is_relevant = false;
@@ -140,9 +154,8 @@
         if active_move.moved != spec.moved_permille {
             active_move.moved = spec.moved_permille;
             active_move.changed_ms = now;
-            active_move.is_step_pending = false;
         }
-        if active_move.is_step_pending {
+        if active_move.pending_step.is_some() {
             return;
         }
         let stage = MoveStage {
@@ -161,7 +174,6 @@
             MoveStep::Done => json!({ "state": MoveState::Done.as_str(), "moved": 1_000 }),
             MoveStep::RollBack(_) => json!({ "state": MoveState::RolledBack.as_str(), "moved": 0 }),
         };
-        active_move.is_step_pending = true;
         let reason = match &step {
             MoveStep::RollBack(Some(regression)) => {
                 format!(
@@ -172,7 +184,9 @@
             _ => format!("{targets} targets, {:.1?} since the request", stage.elapsed),
         };
         Event::MoveStepped.emit(&[("service", &name), ("step", &change), ("reason", &reason)]);
-        self.submit_internal(json!({ "moves": { name.as_str(): change } }));
+        let token = self.next_token();
+        self.moves.begin_step(&name, token);
+        self.submit_internal(token, json!({ "moves": { name.as_str(): change } }));
     }
 
     /// As leader, records the target version of each service that has only one as a completed move.
@@ -199,12 +213,13 @@
             }
         }
         if !moves.is_empty() {
-            self.submit_internal(json!({ "moves": moves }));
+            let token = self.next_token();
+            self.submit_internal(token, json!({ "moves": moves }));
         }
     }
 
     /// Submits a patch on behalf of the leader.
-    pub(crate) fn submit_internal(&mut self, patch: Value) {
+    fn submit_internal(&mut self, token: Token, patch: Value) {
         let operation = format!("leader-{:032x}", rand::random::<u128>());
         let submission = Submission {
             operation,
@@ -214,7 +229,6 @@
             author: self.name.to_string(),
             ..Submission::default()
         };
-        let token = self.next_token();
         self.step(Input::Propose { token, command: submission.encode_to_vec() });
     }
 
