--- a/crates/quorum/src/membership_controller.rs
+++ b/crates/quorum/src/membership_controller.rs
@@ -16,8 +16,10 @@
 
 /// Time for which an offer is valid.
 const OFFER_TTL: Millis = 3_000;
-/// Time without contact after which a member counts as lost and may be removed.
+/// Time without contact after which a member counts as lost and may be removed, if all others are present.
 const REMOVAL_TIMEOUT: Millis = 6_000;
+/// Time without contact after which a member counts as gone for good, whatever the others do.
+const GONE_TIMEOUT: Millis = 12_000;
 /// Maximum time since the last contact of a member that counts as alive.
 const ALIVE_TIMEOUT: Millis = 1_500;
 /// Maximum number of voters; more would slow down every commit without need.
@@ -52,25 +54,33 @@
             .or_else(|| self.add_learner(current))
     }
 
-    /// Removes an unreachable or replaced learner, or such a voter if one voter less lowers the majority.
+    /// Removes an unreachable or replaced learner, or such a voter if that makes the group tolerate more failures.
+    ///
+    /// One voter less lowers the majority if their number is even. Of an odd number, one is removed if another one is
+    /// gone as well and follows.
     fn remove_lost(
         &self,
         current: &Membership,
         silent_for: &impl Fn(&Voter) -> Millis,
     ) -> Option<Membership> {
+        let is_gone =
+            |voter: &Voter| silent_for(voter) > GONE_TIMEOUT || self.is_replaced(voter, current);
+        let is_lost = |voter: &Voter| silent_for(voter) > REMOVAL_TIMEOUT || is_gone(voter);
         let mut next = current.clone();
-        let is_removable =
-            |voter: &Voter| silent_for(voter) > REMOVAL_TIMEOUT || self.is_replaced(voter);
-        if let Some(at) = current.learners.iter().position(is_removable) {
+        if let Some(at) = current.learners.iter().position(is_lost) {
             next.learners.remove(at);
             return Some(next);
         }
-        let others_are_alive =
-            current.voters.iter().filter(|v| silent_for(v) > ALIVE_TIMEOUT).count() <= 1;
-        let removable = current.voters.iter().position(is_removable)?;
-        let lowers_majority = current.voters.len().is_multiple_of(2);
-        (lowers_majority && others_are_alive).then(|| {
-            next.voters.remove(removable);
+        let is_even = current.voters.len().is_multiple_of(2);
+        let gone = current.voters.iter().filter(|voter| is_gone(voter)).count();
+        let absent = current.voters.iter().filter(|v| silent_for(v) > ALIVE_TIMEOUT && !is_gone(v));
+        let removable = match absent.count() {
+            _ if gone >= 2 || (gone == 1 && is_even) => current.voters.iter().position(is_gone),
+            0 | 1 if is_even => current.voters.iter().position(is_lost),
+            _ => None,
+        };
+        removable.map(|at| {
+            next.voters.remove(at);
             next
         })
     }
@@ -84,9 +94,11 @@
         Some(next)
     }
 
-    /// Returns whether a process with another id has sent an offer from the voter's address.
-    fn is_replaced(&self, voter: &Voter) -> bool {
-        self.offers.values().any(|(_, other)| other.listen == voter.listen && other.id != voter.id)
+    /// Returns whether a process with another id uses the voter's address: a member, or one that has sent an offer.
+    fn is_replaced(&self, voter: &Voter, current: &Membership) -> bool {
+        let members = current.voters.iter().chain(&current.learners);
+        let offers = self.offers.values().map(|(_, other)| other);
+        members.chain(offers).any(|other| other.listen == voter.listen && other.id != voter.id)
     }
 }
 
--- a/crates/quorum/tests/automatic_membership.rs
+++ b/crates/quorum/tests/automatic_membership.rs
@@ -322,6 +322,43 @@
     assert_eq!(simulation.voters(), addresses(&[1, 3, 4, 5, 9]));
 }
 
+/// Two voters that were gone for good kept each other in the membership, so that the group could not bear the loss of two
+/// more disks.
+#[rstest]
+#[case::other_address_then_same(&[(2, 9), (3, 3)])]
+#[case::same_address_then_other(&[(3, 3), (2, 9)])]
+#[case::two_other_addresses(&[(2, 8), (4, 9)])]
+#[case::leader_among_them(&[(1, 9), (5, 5)])]
+fn lost_voters_do_not_add_up(
+    #[case] replaced: &[(usize, usize)],
+    #[values(250, 1_500, 5_000)] pause: u64,
+) {
+    let mut simulation = Simulation::new(6);
+    simulation.run(SETTLE_TIME);
+    assert!(simulation.commit(b"first"));
+    for (old, new) in replaced {
+        simulation.remove(&address(*old));
+        simulation.run(pause);
+        simulation.start(&address(*new), false);
+        simulation.run(pause);
+    }
+    simulation.run(SETTLE_TIME);
+    let voters = simulation.voters();
+    assert!(voters.len() <= 7, "{voters:?}: one that is lost changes nothing, two do");
+    assert!(simulation.commit(b"second"));
+    let present: Vec<String> = simulation.processes.keys().take(2).cloned().collect();
+    for at in &present {
+        simulation.remove(at);
+        simulation.start(at, false);
+    }
+    assert!(simulation.commit(b"third"), "two of six disks may be lost");
+    simulation.run(SETTLE_TIME);
+    for process in simulation.processes.values() {
+        let has = |command: &[u8]| process.applied.contains(command);
+        assert!(has(b"first") && has(b"second"), "{} lacks a command", process.voter.listen);
+    }
+}
+
 #[test]
 fn restarted_seeds_form_no_second_group() {
     let mut simulation = Simulation::new(3);
--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -26,6 +26,9 @@
     /// pauses of up to 9 s between the faults, and 800 routes without calls
     #[argh(switch)]
     calm: bool,
+    /// number of routes without calls, which some versions change all at once
+    #[argh(option)]
+    idle_routes: Option<usize>,
     /// share of a processor that each member may use; 0 means no limit
     #[argh(option, default = "0.0")]
     member_share: f64,
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -107,6 +107,8 @@
     pub answered: u64,
     /// Number of versions confirmed.
     pub versions: usize,
+    /// Longest time after its confirmation at which an undisturbed node lacked a version.
+    pub longest_lag: Duration,
     /// Injected faults in their order, each with its time in seconds.
     pub injected_faults: Vec<String>,
     /// Violated guarantees.
@@ -119,11 +121,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} calls, {} answered, {} versions, {} faults, {} violations",
+            "seed {}: {} calls, {} answered, {} versions, lag {:.0?}, {} faults, {} violations",
             self.seed,
             self.calls,
             self.answered,
             self.versions,
+            self.longest_lag,
             self.injected_faults.len(),
             self.violations.len()
         )
@@ -419,7 +422,7 @@
         }
     }
     check_run_counts(&run_counts, &observations);
-    probes::check_probes(&soak.disturbances, options.members, &observations);
+    let longest_lag = probes::check_probes(&soak.disturbances, options.members, &observations);
     soak.proxies.values().flatten().for_each(Proxy::stop);
     let violations = observations.violations();
     SoakReport {
@@ -427,6 +430,7 @@
         calls: observations.calls.load(Ordering::Relaxed),
         answered: observations.answered.load(Ordering::Relaxed),
         versions: lock(&observations.confirmed).len(),
+        longest_lag,
         injected_faults: soak.injected_faults,
         logs: if violations.is_empty() { String::new() } else { soak.site.logs() },
         violations,
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -68,6 +68,8 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Difference of version numbers after which the routes without calls change.
+const IDLE_CHANGE_PERIOD: u64 = 20;
 /// Number of the latest versions whose own route a version has.
 pub(super) const KEPT_ROUTES: usize = 20;
 
@@ -91,7 +93,10 @@
         document["routes"][format!("own-{version}")] = route(own_prefix(*version));
     }
     for index in 0..idle_routes {
-        document["routes"][format!("idle-{index}")] = route(format!("/idle-{index}/"));
+        let mut idle = route(format!("/idle-{index}/"));
+        // Some versions change all of them.
+        idle["timeout_ms"] = json!(2_000 + number / IDLE_CHANGE_PERIOD);
+        document["routes"][format!("idle-{index}")] = idle;
     }
     document
 }
--- a/crates/testing/src/soak/probes.rs
+++ b/crates/testing/src/soak/probes.rs
@@ -94,11 +94,14 @@
 }
 
 /// Checks all probes against the versions that were confirmed or refused.
+///
+/// Returns the longest time after its confirmation at which an undisturbed node lacked a version.
 pub(super) fn check_probes(
     disturbances: &[Disturbance],
     members: usize,
     observations: &Observations,
-) {
+) -> Duration {
+    let mut longest_lag = Duration::ZERO;
     let probes = std::mem::take(&mut *lock(&observations.probes));
     let mut shown: BTreeMap<&str, Vec<&Probe>> = BTreeMap::new();
     for probe in &probes {
@@ -109,11 +112,13 @@
             }
             Some(false) => {
                 let earlier = shown.get(probe.node.as_str()).map_or(&[][..], Vec::as_slice);
-                check_missing(probe, earlier, disturbances, members, observations);
+                let lag = check_missing(probe, earlier, disturbances, members, observations);
+                longest_lag = longest_lag.max(lag);
             }
             None => {}
         }
     }
+    longest_lag
 }
 
 fn check_refused(probe: &Probe, observations: &Observations) {
@@ -127,22 +132,22 @@
     }
 }
 
-/// Checks a probe that found no route of a version.
+/// Checks a probe that found no route of a version; returns how late the version is, or zero if bounds don't hold.
 fn check_missing(
     probe: &Probe,
     earlier: &[&Probe],
     disturbances: &[Disturbance],
     members: usize,
     observations: &Observations,
-) {
+) -> Duration {
     let confirmed = lock(&observations.confirmed);
-    let Some(version) = confirmed.get(&probe.version) else { return };
+    let Some(version) = confirmed.get(&probe.version) else { return Duration::ZERO };
     // A newer version may have dropped the route, also one whose submission got no clear answer.
     let newer = confirmed.range(probe.version + 1..).count();
     let confirmed_at = version.at;
     drop(confirmed);
     if newer + 3 >= KEPT_ROUTES {
-        return;
+        return Duration::ZERO;
     }
     let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
     let since = |time: Duration| probe.sent_at.checked_sub(time).unwrap_or(probe.sent_at);
@@ -193,4 +198,8 @@
             (probe.sent_at - other.answered_at).as_secs_f64()
         ));
     }
+    match bound {
+        Some(STALENESS_LIMIT) => age,
+        _ => Duration::ZERO,
+    }
 }
