--- a/crates/cli/tests/fault_soak.rs
+++ b/crates/cli/tests/fault_soak.rs
@@ -1,5 +1,7 @@
 //! A short randomized soak test with real processes. A seed that failed once stays a case, with the cause.
 
+use std::time::Duration;
+
 use kingcuplift_testing::{SoakOptions, run_soak};
 use rstest::rstest;
 
@@ -19,3 +21,26 @@
     );
     assert!(report.answered > 0 && report.versions > 1, "{report}");
 }
+
+/// Between faults, each version is in force in time at all nodes that are in touch with the source.
+#[test]
+fn versions_are_in_force() {
+    let options = SoakOptions {
+        fault_duration: Duration::from_secs(25),
+        fault_interval: Duration::from_secs(7),
+        longest_fault: Duration::from_secs(6),
+        idle_routes: 100,
+        ..SoakOptions::calm(20_261_205, 3, 4)
+    };
+    let report = run_soak(options);
+    assert!(
+        report.violations.is_empty(),
+        "{report}\n{:#?}\n{:#?}",
+        report.violations,
+        report.injected_faults
+    );
+    assert!(
+        report.longest_lag > Duration::ZERO,
+        "no probe found a node without the newest version"
+    );
+}
