--- a/crates/cli/tests/departed_targets.rs
+++ b/crates/cli/tests/departed_targets.rs
@@ -86,3 +86,23 @@
         (targets[0].requests().len() > before).then_some(())
     });
 }
+
+/// Reports without a start time are ordered by their sequence within one life only.
+#[test]
+fn target_without_start_time_returns() {
+    let target = ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO));
+    let site =
+        start_desk_nodes(std::slice::from_ref(&target), &json!({ "born": 0, "sequence": 0 }));
+    let serves = |site: &PlaintextSite| {
+        (call_desk(site, "node-1", "GET", "/read/1", "c-1").status == 200).then_some(())
+    };
+    site.wait("calls at the target", serves);
+    let leaving = json!({ "born": 0, "sequence": 5, "state": "leaving" });
+    assert_eq!(report_desk(&site, "node-1", &target, &leaving).status, 200);
+    request(&site.addresses("node-1").admin, "DELETE", "/v1/instances/i-1", "", "");
+    // The relay's record of the departure comes back to the node.
+    std::thread::sleep(Duration::from_millis(500));
+    let next_life = json!({ "born": 0, "sequence": 1 });
+    assert_eq!(report_desk(&site, "node-1", &target, &next_life).status, 200);
+    site.wait("calls at the next life of the target", serves);
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -71,7 +71,7 @@
     /// Latest start time of the instances that have ended here, in milliseconds since the Unix epoch.
     latest_ended_start_ms: u64,
     /// Start time and sequence number of the latest report in which a target here said that it leaves.
-    latest_leaving: (u64, u64),
+    latest_leaving: Option<(u64, u64)>,
     relay_addresses: UpstreamAddresses,
     /// Whether the node's availability zone is out of service.
     is_zone_out: bool,
@@ -113,7 +113,7 @@
             incarnations: HashMap::new(),
             instances: HashMap::new(),
             latest_ended_start_ms: 0,
-            latest_leaving: (0, 0),
+            latest_leaving: None,
             relay_addresses,
             is_zone_out: false,
             is_closing: false,
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -69,9 +69,10 @@
     /// An instance that has left and was accepted again in the meantime, by a delayed report, is withdrawn.
     pub(super) fn learn_departures(&mut self, target: &Target) {
         self.latest_ended_start_ms = self.latest_ended_start_ms.max(target.ended_born);
-        if target.leaving_sequence > 0 {
+        // Without a start time, the next life of a target can't be told from the one that left.
+        if target.leaving_sequence > 0 && target.born > 0 {
             let leaving = (target.born, target.leaving_sequence);
-            self.latest_leaving = self.latest_leaving.max(leaving);
+            self.latest_leaving = self.latest_leaving.max(Some(leaving));
         }
         let ended: Vec<TargetKey> = self
             .instances
@@ -79,20 +80,13 @@
             .filter(|(_, known)| self.has_ended(&known.report))
             .map(|(key, _)| key.clone())
             .collect();
-        for key in &ended {
-            Event::TargetDrained.emit(&[("target", key)]);
-        }
-        self.withdraw(&ended, TargetState::Gone);
-        let latest_leaving = self.latest_leaving;
-        let mut leaving = Vec::new();
-        for (key, known) in &mut self.instances {
-            if !known.report.is_leaving && known.report.position() <= latest_leaving {
-                known.report.is_leaving = true;
-                known.report.sequence = latest_leaving.1;
-                leaving.push(key.clone());
+        if !ended.is_empty() {
+            for key in &ended {
+                Event::TargetDrained.emit(&[("target", key)]);
             }
+            self.withdraw(&ended, TargetState::Gone);
         }
-        for key in leaving {
+        for key in self.mark_leaving() {
             if let Some(local) = self.shared.local_targets.load_full().get(&key) {
                 self.update_admission(&key, local);
             }
@@ -100,12 +94,26 @@
         }
     }
 
+    /// Marks the instances as leaving that had said so before, and returns their keys.
+    fn mark_leaving(&mut self) -> Vec<TargetKey> {
+        let Some(latest) = self.latest_leaving else { return Vec::new() };
+        let mut marked = Vec::new();
+        for (key, known) in &mut self.instances {
+            if !known.report.is_leaving && known.report.position() <= latest {
+                known.report.is_leaving = true;
+                known.report.sequence = latest.1;
+                marked.push(key.clone());
+            }
+        }
+        marked
+    }
+
     /// Sends the relay the records of the local targets that have left: the source may have forgotten them.
     pub(super) fn announce_departed(&self) {
         let own = |target: &&Target| target.node == self.shared.name.as_str();
         let departed = self.table.changed_since(0).filter(own);
-        let departed = departed
-            .filter(|target| target.state() == TargetState::Gone && (target.ended_born > 0));
+        let departed =
+            departed.filter(|target| target.state() == TargetState::Gone && target.ended_born > 0);
         let targets: Vec<Target> = departed.cloned().collect();
         if !targets.is_empty() {
             let update = TargetUpdate { targets, full: false, position: 0 };
@@ -331,7 +339,7 @@
         let newest = known.map(|(_, known)| known.report.position()).max();
         let position = report.position();
         self.has_ended(report)
-            || position <= self.latest_leaving
+            || self.latest_leaving.is_some_and(|leaving| position <= leaving)
             || newest.is_some_and(|newest| position <= newest)
     }
 
--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -54,7 +54,14 @@
         };
         let fault_duration = Duration::from_secs(arguments.seconds);
         let (member_share, node_share) = (arguments.member_share, arguments.node_share);
-        let report = run_soak(SoakOptions { fault_duration, member_share, node_share, ..options });
+        let idle_routes = arguments.idle_routes.unwrap_or(options.idle_routes);
+        let report = run_soak(SoakOptions {
+            fault_duration,
+            idle_routes,
+            member_share,
+            node_share,
+            ..options
+        });
         println!("{report}");
         if report.violations.is_empty() {
             continue;
