--- a/crates/cli/tests/move_evidence.rs
+++ b/crates/cli/tests/move_evidence.rs
@@ -59,7 +59,7 @@
 #[rstest]
 #[case::deadline_passes(None)]
 #[case::caller_leaves(Some(Duration::from_millis(400)))]
-fn hanging_version_is_rolled_back(#[case] leaves_after: Option<Duration>) {
+fn hanging_version_is_taken_back(#[case] leaves_after: Option<Duration>) {
     let behavior = |is_new| match is_new {
         true => TargetBehavior::HangOn { text: "/read/slow", delay: ANSWER_TIME },
         false => TargetBehavior::Respond(ANSWER_TIME),
