Soak: a probe is judged by the versions of its own time

Newer versions count now if they were confirmed by the time of the answer, which is stricter.

Evidence: cli fault_soak, four cases pass with it (once all together, the calm case once more alone). The long soaks by hand were not run again.

--- a/crates/testing/src/soak/probes.rs
+++ b/crates/testing/src/soak/probes.rs
@@ -144,7 +144,8 @@
     let confirmed = lock(&observations.confirmed);
     let Some(version) = confirmed.get(&probe.version) else { return Duration::ZERO };
     // A newer version may have dropped the route, also one whose submission got no clear answer.
-    let newer = confirmed.range(probe.version + 1..).count();
+    let later = confirmed.range(probe.version + 1..);
+    let newer = later.filter(|(_, other)| other.at <= probe.answered_at).count();
     let confirmed_at = version.at;
     drop(confirmed);
     if newer + 3 >= KEPT_ROUTES {
