--- a/crates/daemon/src/node/evidence.rs
+++ b/crates/daemon/src/node/evidence.rs
@@ -96,11 +96,14 @@
         seen.add(side, &single, monotonic_ms());
     }
 
-    /// Counts a call that ran at a local target without an answer.
-    pub(crate) fn count_unanswered(&mut self, target: &TargetKey, route: &SmolStr) {
+    /// Counts a call that ran at a local target, whether it got an answer or not.
+    pub(crate) fn count_run(&mut self, target: &TargetKey, route: &SmolStr, is_answered: bool) {
         let count = self.count_of(target, route);
-        count.unanswered += 1;
-        count.node = target.node.to_string();
+        count.ran += 1;
+        count.unanswered += u64::from(!is_answered);
+        if count.node.is_empty() {
+            count.node = target.node.to_string();
+        }
     }
 
     /// Counts a call whose caller left while a local target ran it.
--- a/crates/daemon/src/node/running_call.rs
+++ b/crates/daemon/src/node/running_call.rs
@@ -45,8 +45,8 @@
         self.is_finished = true;
         match result {
             Err(ResultCode::DeadlineAfter) => self.record_end(Instant::now()),
-            Err(ResultCode::AnswerLost | ResultCode::AnswerDamaged) if self.is_moving() => {
-                self.shared.evidence().count_unanswered(self.key, self.route);
+            Ok(_) | Err(ResultCode::AnswerLost | ResultCode::AnswerDamaged) if self.is_moving() => {
+                self.shared.evidence().count_run(self.key, self.route, result.is_ok());
             }
             Ok(_) | Err(_) => {}
         }
@@ -61,7 +61,7 @@
         let mut evidence = self.shared.evidence();
         match self.deadline.saturating_duration_since(now) {
             _ if now > self.deadline + STANDSTILL => {}
-            left if left <= margin => evidence.count_unanswered(self.key, self.route),
+            left if left <= margin => evidence.count_run(self.key, self.route, false),
             _ => evidence.count_abandoned(self.key, self.route, now - self.started_at),
         }
     }
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -181,7 +181,10 @@
                     regression.bad_calls, regression.calls, regression.route
                 )
             }
-            _ => format!("{targets} targets, {:.1?} since the request", stage.elapsed),
+            _ => format!(
+                "{targets} targets, {:.1?} since the request; {}",
+                stage.elapsed, active_move.evidence
+            ),
         };
         Event::MoveStepped.emit(&[("service", &name), ("step", &change), ("reason", &reason)]);
         let token = self.next_token();
--- a/crates/traffic/src/move_policy.rs
+++ b/crates/traffic/src/move_policy.rs
@@ -6,6 +6,7 @@
 //! to the new version.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use kingcuplift_schema::control::EvidenceCount;
@@ -47,17 +48,30 @@
 const REPORTED_FRACTION: f64 = 0.25;
 /// Such calls from which on their absence from the reports is no chance.
 const MIN_EXPECTED_CALLS: f64 = 12.0;
+/// Calls without an answer that the other targets must have had, were they like the worst one, to tell them apart.
+const MIN_COMPARED_CALLS: f64 = 6.0;
+/// Calls without an answer that the other targets may have beyond the expected number and its deviation.
+const SOUND_MARGIN: f64 = 1.0;
+/// Standard deviations above the expected number of such calls at sound targets.
+const SOUND_DEVIATIONS: f64 = 2.0;
 /// Fraction of failed calls at which a node stops using the new version by itself.
 const TRIP_FRACTION: f64 = 0.25;
 
+/// Calls of one route that one target ran.
+#[derive(Debug, Clone, Copy, Default)]
+struct TargetCounts {
+    ran: f64,
+    unanswered: f64,
+}
+
 /// Counts of one route at one version, with exponential decay.
 #[derive(Debug, Clone, Default)]
 struct Counts {
     answered: f64,
     failed: f64,
     times: Vec<f64>,
-    /// Calls that ran without an answer, by the node beside the target.
-    unanswered: HashMap<SmolStr, f64>,
+    /// Calls that ran, by the node beside the target.
+    targets: HashMap<SmolStr, TargetCounts>,
     /// Histogram of the times after which callers left calls that still ran.
     abandoned: Vec<f64>,
 }
@@ -68,9 +82,10 @@
         self.failed += count.failed as f64;
         add_histogram(&mut self.times, &count.times);
         add_histogram(&mut self.abandoned, &count.abandoned);
-        if count.unanswered > 0 {
-            *self.unanswered.entry(SmolStr::new(&count.node)).or_default() +=
-                count.unanswered as f64;
+        if count.ran.max(count.unanswered) > 0 {
+            let target = self.targets.entry(SmolStr::new(&count.node)).or_default();
+            target.ran += count.ran.max(count.unanswered) as f64;
+            target.unanswered += count.unanswered as f64;
         }
     }
 
@@ -79,21 +94,35 @@
         self.failed *= factor;
         self.times.iter_mut().for_each(|time| *time *= factor);
         self.abandoned.iter_mut().for_each(|time| *time *= factor);
-        self.unanswered.values_mut().for_each(|calls| *calls *= factor);
+        for target in self.targets.values_mut() {
+            target.ran *= factor;
+            target.unanswered *= factor;
+        }
     }
 
     fn calls(&self) -> f64 {
-        self.answered + self.failed + self.unanswered.values().sum::<f64>()
+        self.answered + self.failed + self.unanswered()
+    }
+
+    fn unanswered(&self) -> f64 {
+        self.targets.values().map(|target| target.unanswered).sum()
     }
 
     /// Returns the calls that failed or have no answer.
     fn failures(&self) -> f64 {
-        self.failed + self.unanswered.values().sum::<f64>()
+        self.failed + self.unanswered()
     }
 
-    /// Returns the calls without an answer at the target that has most of them.
-    fn worst_unanswered(&self) -> f64 {
-        self.unanswered.values().copied().fold(0.0, f64::max)
+    /// Returns the counts of the target that has most calls without an answer, and the sum of the others.
+    fn worst_and_others(&self) -> (TargetCounts, TargetCounts) {
+        let by_unanswered = |a: &&TargetCounts, b: &&TargetCounts| {
+            a.unanswered.total_cmp(&b.unanswered).then(b.ran.total_cmp(&a.ran))
+        };
+        let worst = self.targets.values().max_by(by_unanswered).copied().unwrap_or_default();
+        let ran: f64 = self.targets.values().map(|target| target.ran).sum();
+        let others =
+            TargetCounts { ran: ran - worst.ran, unanswered: self.unanswered() - worst.unanswered };
+        (worst, others)
     }
 
     /// Returns the histogram bucket of the median answer.
@@ -170,24 +199,30 @@
         expected >= MIN_EXPECTED_CALLS && self.new_version_calls() < expected * REPORTED_FRACTION
     }
 
-    /// Returns a regression of the new version, which has this number of targets, if there is one.
-    ///
-    /// Calls without an answer may be due to a single target. Where there are several, those of the worst are left out.
-    pub fn regression(&self, targets: usize) -> Option<Regression> {
-        self.routes.iter().find_map(|(route, [old, new])| {
-            let left_out = if targets > 1 { new.worst_unanswered() } else { 0.0 };
-            let failures = excess_failures(old, new, new.failures() - left_out);
-            let bad_calls =
-                [failures, excess_slow_answers(old, new)].into_iter().flatten().next()?;
-            Some(Regression { route: route.clone(), bad_calls, calls: new.calls() })
-        })
+    /// Judges the new version, which has this number of targets.
+    fn judge(&self, targets: usize) -> Verdict {
+        let mut verdict = Verdict::Sound;
+        for (route, [old, new]) in &self.routes {
+            let failures = match judge_failures(old, new, targets) {
+                FailureVerdict::Excessive(failures) => Some(failures),
+                FailureVerdict::Unclear => {
+                    verdict = Verdict::Unclear;
+                    None
+                }
+                FailureVerdict::Tolerable => None,
+            };
+            if let Some(bad_calls) = failures.or_else(|| excess_slow_answers(old, new)) {
+                let (route, calls) = (route.clone(), new.calls());
+                return Verdict::Regression(Regression { route, bad_calls, calls });
+            }
+        }
+        verdict
     }
 
     /// Returns whether the calls of this node alone justify that it stops using the new version.
     pub fn is_tripped(&self) -> bool {
         self.routes.values().any(|[old, new]| {
-            new.failed >= TRIP_FRACTION * new.calls()
-                && excess_failures(old, new, new.failed).is_some()
+            new.failed >= TRIP_FRACTION * new.calls() && has_excess_failures(old, new, new.failed)
         })
     }
 
@@ -204,18 +239,78 @@
     }
 }
 
-/// Returns whether `bad` of `calls` calls are significantly more than at the old version.
-fn is_excessive(bad: f64, calls: f64, old_bad: f64, old_calls: f64) -> bool {
+impl fmt::Display for MoveEvidence {
+    /// Sums the calls of all routes by version: runs, failed answers, runs without an answer and those at one target.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (side, name) in [(Side::New, "new"), (Side::Old, ", old")] {
+            let counts = || self.routes.values().map(|sides| &sides[side as usize]);
+            let calls: f64 = counts().map(Counts::calls).sum();
+            let failed: f64 = counts().map(|counts| counts.failed).sum();
+            let unanswered: f64 = counts().map(Counts::unanswered).sum();
+            let worst: f64 = counts().map(|counts| counts.worst_and_others().0.unanswered).sum();
+            write!(f, "{name} {calls:.0} calls, {failed:.0} failed, ")?;
+            write!(f, "{unanswered:.0} without an answer ({worst:.0} at the worst targets)")?;
+        }
+        Ok(())
+    }
+}
+
+/// Judgement of a new version.
+#[derive(Debug, Clone, PartialEq)]
+enum Verdict {
+    Sound,
+    /// Calls without an answer are due to one target or to the version; the other targets ran too few calls to tell.
+    Unclear,
+    Regression(Regression),
+}
+
+/// Judgement of the failures of one route at the new version.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum FailureVerdict {
+    Tolerable,
+    Unclear,
+    /// This number of calls failed or have no answer.
+    Excessive(f64),
+}
+
+/// Returns the fraction of bad calls that is tolerated, given those at the old version.
+fn tolerated_fraction(old_bad: f64, old_calls: f64) -> f64 {
     // One bad call is added: with few calls, a fraction of zero proves little.
     let fraction = (old_bad + 1.0) / (old_calls + 20.0);
-    let expected = calls * (fraction * TOLERATED_RATIO).max(TOLERATED_FRACTION);
+    (fraction * TOLERATED_RATIO).max(TOLERATED_FRACTION)
+}
+
+/// Returns whether `bad` of `calls` calls are significantly more than at the old version.
+fn is_excessive(bad: f64, calls: f64, old_bad: f64, old_calls: f64) -> bool {
+    let expected = calls * tolerated_fraction(old_bad, old_calls);
     bad > expected + DEVIATIONS * expected.sqrt() + BAD_CALL_MARGIN
 }
 
-/// Returns the failures of the new version if they are significantly too many.
-fn excess_failures(old: &Counts, new: &Counts, failures: f64) -> Option<f64> {
-    let is_bad = is_excessive(failures, new.calls(), old.failures(), old.calls());
-    is_bad.then_some(failures)
+/// Returns whether this number of failures of the new version is significantly too high.
+fn has_excess_failures(old: &Counts, new: &Counts, failures: f64) -> bool {
+    is_excessive(failures, new.calls(), old.failures(), old.calls())
+}
+
+/// Judges the failures at a new version with this number of targets.
+///
+/// Calls without an answer may be due to a single target. Those of the worst one are left out where the others are sound.
+fn judge_failures(old: &Counts, new: &Counts, targets: usize) -> FailureVerdict {
+    let failures = new.failures();
+    let (worst, others) = new.worst_and_others();
+    let expected = others.ran * tolerated_fraction(old.failures(), old.calls());
+    let sound = expected + SOUND_DEVIATIONS * expected.sqrt() + SOUND_MARGIN;
+    // Calls without an answer that the others would have, were they like the worst target.
+    let compared = worst.unanswered * others.ran / worst.ran.max(1.0);
+    match () {
+        () if !has_excess_failures(old, new, failures) => FailureVerdict::Tolerable,
+        () if targets <= 1 => FailureVerdict::Excessive(failures),
+        () if has_excess_failures(old, new, failures - worst.unanswered) => {
+            FailureVerdict::Excessive(failures)
+        }
+        () if compared < MIN_COMPARED_CALLS => FailureVerdict::Unclear,
+        () if others.unanswered > sound => FailureVerdict::Excessive(failures),
+        () => FailureVerdict::Tolerable,
+    }
 }
 
 /// Returns the slow answers of the new version if they are significantly too many.
@@ -250,7 +345,8 @@
     Share(u16),
     /// The move is complete.
     Done,
-    /// All traffic goes back to the old version, because of this regression or because no target was ready in time.
+    /// All traffic goes back to the old version, because of this regression, or because until the deadline no target was
+    /// ready or the evidence did not suffice.
     RollBack(Option<Regression>),
 }
 
@@ -264,13 +360,17 @@
 
 /// Decides the next step of a move.
 pub fn next_step(stage: MoveStage, evidence: &MoveEvidence) -> MoveStep {
-    if let Some(regression) = evidence.regression(stage.targets) {
-        return MoveStep::RollBack(Some(regression));
-    }
+    let is_unclear = match evidence.judge(stage.targets) {
+        Verdict::Regression(regression) => return MoveStep::RollBack(Some(regression)),
+        verdict => verdict == Verdict::Unclear,
+    };
     let trial = stage.within.mul_f64(TRIAL_FRACTION);
     let done = stage.within.mul_f64(DONE_FRACTION);
     let left = stage.within.saturating_sub(stage.elapsed);
+    let is_held = is_unclear || evidence.lacks_reports();
     match stage.new_share {
+        WHOLE_SHARE if is_unclear && left.is_zero() => MoveStep::RollBack(None),
+        WHOLE_SHARE if is_unclear => MoveStep::Wait,
         WHOLE_SHARE if stage.since_change >= WHOLE_SHARE_TIME && stage.elapsed >= done => {
             MoveStep::Done
         }
@@ -285,7 +385,8 @@
         {
             MoveStep::Wait
         }
-        _ if evidence.lacks_reports() => MoveStep::Wait,
+        _ if is_held && left.is_zero() => MoveStep::RollBack(None),
+        _ if is_held => MoveStep::Wait,
         _ if stage.new_share > FIRST_SHARE && stage.since_change < step_time(stage) => {
             MoveStep::Wait
         }
--- a/crates/traffic/tests/move_steps.rs
+++ b/crates/traffic/tests/move_steps.rs
@@ -1,5 +1,6 @@
 //! Steps of a move: a good version completes in time; a failing or slow one is rolled back after few calls.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use kingcuplift_schema::control::EvidenceCount;
@@ -154,10 +155,16 @@
 
 /// Reports calls without an answer, from the nodes beside the targets in turn.
 fn unanswered(now: u64, calls: f64, nodes: u64) -> EvidenceCount {
+    runs(&format!("node-{}", now / STEP_MS % nodes), calls, calls)
+}
+
+/// Reports the calls that the target beside a node ran, and how many of them without an answer.
+fn runs(node: &str, ran: f64, unanswered: f64) -> EvidenceCount {
     EvidenceCount {
         route: "reads".to_owned(),
-        unanswered: calls.round() as u64,
-        node: format!("node-{}", now / STEP_MS % nodes),
+        ran: ran.round() as u64,
+        unanswered: unanswered.round() as u64,
+        node: node.to_owned(),
         ..EvidenceCount::default()
     }
 }
@@ -204,16 +211,56 @@
 fn single_silent_target_is_no_regression() {
     let outcome = simulate_reports(0, 0.004, |now, _, calls| {
         let part = calls / TARGETS as f64;
-        vec![unanswered(now, part, 1), count(calls - part, 0.004, 0.0)]
+        let others = runs(&format!("node-{}", 1 + now / STEP_MS % 5), calls - part, 0.0);
+        vec![unanswered(now, part, 1), others, count(calls - part, 0.004, 0.0)]
     });
     assert_eq!(outcome.last_step, MoveStep::Done);
 }
 
+/// Nodes that saw calls fail sent no more, and most of these few calls were taken for the fault of one target: a version
+/// that hangs on half of its requests got all traffic.
+#[rstest]
+#[case::three_of_four_at_one(0.75)]
+#[case::two_of_three_at_one(0.67)]
+fn skewed_calls_trigger_rollback(#[case] worst_fraction: f64) {
+    let sent = Cell::new(0.0);
+    let outcome = simulate_reports(0, 0.004, |_, _, calls| {
+        // All nodes together stop after this number of failures.
+        let hanging = if sent.get() < 12.0 { calls / 2.0 } else { 0.0 };
+        let worst = (sent.get() * worst_fraction) as u64;
+        sent.set(sent.get() + hanging);
+        let worst = (sent.get() * worst_fraction) as u64 - worst;
+        let others = hanging.round() - worst as f64;
+        vec![
+            runs("node-4", worst as f64, worst as f64),
+            runs("node-3", others + calls / 2.0, others),
+            count(calls / 2.0, 0.0, 0.0),
+        ]
+    });
+    assert!(matches!(outcome.last_step, MoveStep::RollBack(Some(_))), "{:?}", outcome.last_step);
+}
+
+/// While only one target gets calls, its missing answers may be the version's; the version got all traffic.
+#[test]
+fn only_target_in_use_holds_the_share() {
+    let outcome = simulate_reports(0, 0.004, |_, _, calls| {
+        vec![runs("node-4", calls, calls / 2.0), count(calls / 2.0, 0.0, 0.0)]
+    });
+    assert_eq!(outcome.last_step, MoveStep::RollBack(None), "{} ms", outcome.ended_ms);
+    let allowed = RATE * WITHIN.as_secs_f64() * EXPOSED_FRACTION + EXPOSED_SLACK;
+    assert!(outcome.exposed < allowed, "{} calls, allowed {allowed}", outcome.exposed);
+}
+
 /// Without reports on the new version, although the old one's arrive, nothing is known in its favour.
 #[test]
 fn missing_reports_hold_the_share() {
-    let outcome = simulate_reports(0, 0.004, |_, _, _| Vec::new());
-    assert_eq!(outcome.last_step, MoveStep::Wait);
+    let outcome = simulate_reports(0, 0.004, |_, share, _| {
+        assert!(share <= 40, "the share was raised to {share} thousandths");
+        Vec::new()
+    });
+    // A move ends at its deadline.
+    assert_eq!(outcome.last_step, MoveStep::RollBack(None));
+    assert!(outcome.ended_ms >= WITHIN.as_millis() as u64, "{} ms", outcome.ended_ms);
 }
 
 #[rstest]
