--- a/crates/quorum/src/membership_controller.rs
+++ b/crates/quorum/src/membership_controller.rs
@@ -32,8 +32,9 @@
 }
 
 impl MembershipController {
-    /// Records an offer.
+    /// Records an offer, in place of earlier ones from the same address.
     pub fn record_offer(&mut self, voter: Voter, now: Millis) {
+        self.offers.retain(|_, (_, other)| other.listen != voter.listen);
         self.offers.insert((voter.id, voter.disk), (now, voter));
     }
 
@@ -94,11 +95,13 @@
         Some(next)
     }
 
-    /// Returns whether a process with another id uses the voter's address: a member, or one that has sent an offer.
+    /// Returns whether a process with another id has taken the voter's address: a later member, or the sender of an offer.
     fn is_replaced(&self, voter: &Voter, current: &Membership) -> bool {
         let members = current.voters.iter().chain(&current.learners);
+        // Members are listed in the order in which they joined.
+        let later = members.skip_while(|other| other.id != voter.id).skip(1);
         let offers = self.offers.values().map(|(_, other)| other);
-        members.chain(offers).any(|other| other.listen == voter.listen && other.id != voter.id)
+        later.chain(offers).any(|other| other.listen == voter.listen && other.id != voter.id)
     }
 }
 
--- a/crates/quorum/tests/automatic_membership.rs
+++ b/crates/quorum/tests/automatic_membership.rs
@@ -46,6 +46,8 @@
     processes: BTreeMap<String, Process>,
     started: u64,
     groups: BTreeSet<u64>,
+    /// Member that receives no messages, and until when.
+    deaf: Option<(String, u64)>,
 }
 
 fn address(number: usize) -> String {
@@ -55,8 +57,14 @@
 impl Simulation {
     fn new(count: usize) -> Self {
         let seeds = (1..=3).map(address).collect();
-        let mut simulation =
-            Self { now: 0, seeds, processes: BTreeMap::new(), started: 0, groups: BTreeSet::new() };
+        let mut simulation = Self {
+            now: 0,
+            seeds,
+            processes: BTreeMap::new(),
+            started: 0,
+            groups: BTreeSet::new(),
+            deaf: None,
+        };
         for number in 1..=count {
             simulation.start(&address(number), true);
         }
@@ -203,6 +211,8 @@
                     false => process.membership_controller.record_offer(voter, now),
                 }
             }
+            (Stage::Member(_), _) if self.deaf.as_ref().is_some_and(|d| d.0 == at && now < d.1) => {
+            }
             (Stage::Member(_), _) => self.step(at, Event::Receive(Box::new(message))),
         }
     }
@@ -226,6 +236,15 @@
         voters
     }
 
+    /// Returns the addresses of the leader's learners.
+    fn learners(&self) -> Vec<String> {
+        let leader = self.leader().and_then(|at| self.processes.get(&at));
+        let Some(Stage::Member(replica)) = leader.map(|process| &process.stage) else {
+            return Vec::new();
+        };
+        replica.membership().learners.iter().map(|learner| learner.listen.clone()).collect()
+    }
+
     /// Proposes a command and returns whether it was committed.
     fn commit(&mut self, command: &[u8]) -> bool {
         let until = self.now + SETTLE_TIME;
@@ -291,6 +310,32 @@
     assert!(simulation.commit(b"second"));
 }
 
+/// A new process at the address of a wiped member was taken for replaced by that member: until it had caught up, the
+/// leader added and removed it in turn.
+#[rstest]
+fn slow_learner_stays(#[values(3, 5, 6)] count: usize, #[values(1, 2, 3)] wiped: usize) {
+    let mut simulation = Simulation::new(count);
+    simulation.run(SETTLE_TIME);
+    assert!(simulation.commit(b"first"));
+    let at = address(wiped);
+    simulation.remove(&at);
+    simulation.run(SETTLE_TIME / 10);
+    // Longer than a learner may lag behind.
+    for number in 0..100_u8 {
+        assert!(simulation.commit(&[number]));
+    }
+    simulation.deaf = Some((at.clone(), simulation.now + 4_000));
+    simulation.start(&at, false);
+    let (mut changes, mut is_learner) = (0, false);
+    for _ in 0..SETTLE_TIME / TICK {
+        simulation.run(TICK);
+        let was_learner = std::mem::replace(&mut is_learner, simulation.learners().contains(&at));
+        changes += usize::from(was_learner != is_learner);
+    }
+    assert_eq!(changes, 2, "added once and promoted once");
+    assert_eq!(simulation.voters(), (1..=count).map(address).collect::<Vec<_>>());
+}
+
 #[rstest]
 fn second_loss_after_repair(#[values(1, 2, 3)] wiped: usize, #[values(1, 2, 3)] lost: usize) {
     let mut simulation = Simulation::new(3);
