--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Catalog`] is the state machine of the source. [`VersionedDocument`] is the copy of the document that every
 //! process holds: it creates updates for receivers and applies those of its sender.
 
+mod canonical;
 mod catalog;
 mod document;
 mod frame;
@@ -12,6 +13,7 @@
 mod subscription;
 mod versioned_document;
 
+pub use canonical::CanonicalCache;
 pub use catalog::{
     Catalog, CatalogError, Outcome, RETAINED_OUTCOMES, RETAINED_VERSIONS, Submission, VersionInfo,
 };
--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -3,17 +3,20 @@
 //! A full configuration replaces all services, routes and caller limits. It is stored as a patch to the active
 //! version; availability zones and moves stay as they are, except the moves of services that it removes.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use kingcuplift_core::{Digest, Faults, ResultCode, Version};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::{Map, Value, json};
+use smol_str::SmolStr;
 
+use crate::canonical::{CanonicalCache, canonical_form};
 use crate::catalog::Submission;
 use crate::document::Document;
 use crate::resource::{CALLER_LIMITS, Kind, ResourceKey};
 
-/// Kinds that a full configuration replaces.
-const REPLACED_KINDS: [Kind; 3] = [Kind::Services, Kind::Routes, Kind::Limits];
-
 /// The active full configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Revision {
@@ -23,28 +26,31 @@
     pub version: Version,
 }
 
+/// Resources of one kind by name, as text.
+type RawResources<'a> = BTreeMap<SmolStr, &'a RawValue>;
+/// Resources of one kind by name, in canonical form.
+type CanonicalResources = BTreeMap<SmolStr, Arc<str>>;
+
 /// A full configuration as submitted by an operator.
 #[derive(Debug, Clone, Deserialize)]
-pub struct RevisionBody {
+pub struct RevisionBody<'a> {
     /// Number assigned by the operator.
     version: u64,
     /// Services by name.
-    services: Map<String, Value>,
+    #[serde(borrow)]
+    services: RawResources<'a>,
     /// Routes by name.
-    routes: Map<String, Value>,
+    #[serde(borrow)]
+    routes: RawResources<'a>,
     /// Limits on what callers may send.
     #[serde(default)]
     limits: Map<String, Value>,
 }
 
-impl RevisionBody {
+impl<'a> RevisionBody<'a> {
     /// Parses a full configuration from JSON text.
-    pub fn parse(text: &[u8]) -> Result<Self, Faults> {
-        serde_json::from_slice(text).map_err(|error| {
-            let mut faults = Faults::default();
-            faults.push(ResultCode::PatchMalformed, "", error.to_string());
-            faults
-        })
+    pub fn parse(text: &'a [u8]) -> Result<Self, Faults> {
+        serde_json::from_slice(text).map_err(|error| malformed(&error))
     }
 
     /// Returns the number assigned by the operator.
@@ -61,47 +67,62 @@
         text: &[u8],
         base: Revision,
         document: &Document,
-    ) -> Submission {
+        cache: &mut CanonicalCache,
+    ) -> Result<Submission, Faults> {
         let mut digest = Digest::default();
         digest.add(&format!("{after}/{}", self.version), &String::from_utf8_lossy(text));
-        Submission {
+        let patch = self.patch(document, cache).map_err(|error| malformed(&error))?;
+        Ok(Submission {
             operation: format!("revision-{digest}"),
             base: base.version.get(),
             at_head: base.number == 0,
-            patch: self.patch(document).to_string(),
+            patch: patch.to_string(),
             revision: self.version,
             after,
             ..Submission::default()
-        }
+        })
     }
 
     /// Returns the merge patch that turns `document` into this configuration.
-    fn patch(&self, document: &Document) -> Value {
-        let limits = match self.limits.is_empty() {
-            true => Map::new(),
-            false => {
-                Map::from_iter([(CALLER_LIMITS.to_owned(), Value::Object(self.limits.clone()))])
-            }
-        };
+    fn patch(
+        &self,
+        document: &Document,
+        cache: &mut CanonicalCache,
+    ) -> Result<Value, serde_json::Error> {
+        let texts = self.services.values().chain(self.routes.values()).copied();
+        let mut forms = cache.canonical_forms(texts)?.into_iter();
+        let services: CanonicalResources = self.services.keys().cloned().zip(&mut forms).collect();
+        let routes = self.routes.keys().cloned().zip(forms).collect();
+        let mut limits = CanonicalResources::new();
+        if !self.limits.is_empty() {
+            let form = canonical_form(&Value::Object(self.limits.clone()));
+            limits.insert(SmolStr::new_static(CALLER_LIMITS), form.into());
+        }
         let mut patch = Map::new();
-        for (kind, wanted) in
-            REPLACED_KINDS.into_iter().zip([&self.services, &self.routes, &limits])
-        {
-            let changes = patch_for_kind(document, kind, wanted);
+        let replaced =
+            [(Kind::Services, &services), (Kind::Routes, &routes), (Kind::Limits, &limits)];
+        for (kind, wanted) in replaced {
+            let changes = patch_for_kind(document, kind, wanted)?;
             if !changes.is_empty() {
                 patch.insert(kind.as_str().to_owned(), Value::Object(changes));
             }
         }
-        let moves = orphaned_moves(document, &self.services);
+        let moves = orphaned_moves(document, &services);
         if !moves.is_empty() {
             patch.insert(Kind::Moves.as_str().to_owned(), Value::Object(moves));
         }
-        Value::Object(patch)
+        Ok(Value::Object(patch))
     }
 }
 
+fn malformed(error: &serde_json::Error) -> Faults {
+    let mut faults = Faults::default();
+    faults.push(ResultCode::PatchMalformed, "", error.to_string());
+    faults
+}
+
 /// Returns the merge patch that removes the moves of services that `services` does not contain.
-fn orphaned_moves(document: &Document, services: &Map<String, Value>) -> Map<String, Value> {
+fn orphaned_moves(document: &Document, services: &CanonicalResources) -> Map<String, Value> {
     let removed =
         document.keys_of(Kind::Services).filter(|key| !services.contains_key(key.name.as_str()));
     let moves =
@@ -113,25 +134,24 @@
 fn patch_for_kind(
     document: &Document,
     kind: Kind,
-    wanted: &Map<String, Value>,
-) -> Map<String, Value> {
+    wanted: &CanonicalResources,
+) -> Result<Map<String, Value>, serde_json::Error> {
     let mut changes = Map::new();
-    for (name, value) in wanted {
-        let value = without_nulls(value);
-        let stored = document.get(&ResourceKey::new(kind, name));
-        match stored {
-            Some(stored) if *stored.json == *value.to_string() => {}
+    for (name, form) in wanted {
+        match document.get(&ResourceKey::new(kind, name)) {
+            Some(stored) if stored.json == *form => {}
             Some(stored) => {
                 let current = serde_json::from_str(&stored.json).unwrap_or(Value::Null);
-                changes.insert(name.clone(), merge_patch(&current, &value));
+                let value = serde_json::from_str(form)?;
+                changes.insert(name.to_string(), merge_patch(&current, &value));
             }
-            None => drop(changes.insert(name.clone(), value)),
+            None => drop(changes.insert(name.to_string(), serde_json::from_str(form)?)),
         }
     }
     for key in document.keys_of(kind).filter(|key| !wanted.contains_key(key.name.as_str())) {
         changes.insert(key.name.to_string(), Value::Null);
     }
-    changes
+    Ok(changes)
 }
 
 /// Returns the merge patch that turns `current` into `wanted`.
@@ -153,18 +173,6 @@
     Value::Object(changes)
 }
 
-/// Removes fields whose value is null; a merge patch can't set null values.
-fn without_nulls(value: &Value) -> Value {
-    match value {
-        Value::Object(fields) => fields
-            .iter()
-            .filter(|(_, value)| !value.is_null())
-            .map(|(name, value)| (name.clone(), without_nulls(value)))
-            .collect(),
-        _ => value.clone(),
-    }
-}
-
 impl Revision {
     /// Returns the configuration as JSON text, in the form that operators submit.
     pub fn to_json(self, document: &Document) -> String {
--- a/crates/config/tests/revisions.rs
+++ b/crates/config/tests/revisions.rs
@@ -1,6 +1,6 @@
 //! Full configurations replace services, routes and limits, by compare-and-set on the operator's number.
 
-use kingcuplift_config::{Catalog, Outcome, Revision, RevisionBody, Submission};
+use kingcuplift_config::{CanonicalCache, Catalog, Outcome, Revision, RevisionBody, Submission};
 use kingcuplift_core::ResultCode;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -30,9 +30,19 @@
 }
 
 fn submission(catalog: &Catalog, after: u64, text: &str) -> Submission {
+    submission_with(&mut CanonicalCache::default(), catalog, after, text)
+}
+
+fn submission_with(
+    cache: &mut CanonicalCache,
+    catalog: &Catalog,
+    after: u64,
+    text: &str,
+) -> Submission {
     let body = RevisionBody::parse(text.as_bytes()).expect("a readable configuration");
     let document = catalog.current().document();
-    body.submission(after, text.as_bytes(), catalog.revision(), document)
+    let submission = body.submission(after, text.as_bytes(), catalog.revision(), document, cache);
+    submission.expect("a readable configuration")
 }
 
 fn submit(catalog: &mut Catalog, after: u64, document: &Value) -> Outcome {
@@ -140,6 +150,21 @@
     assert_eq!(read_back(&catalog), first);
 }
 
+/// Only the text of a resource is read at first; its content is checked once it is needed.
+#[rstest]
+#[case::large_number(r#"{"timeout_ms": 1e999}"#)]
+#[case::deep_nesting(&format!("{}{}", "[".repeat(200), "]".repeat(200)))]
+fn unreadable_resource_is_rejected(#[case] route: &str) {
+    let text = full_config(4, json!({ "r-1": "ROUTE" })).to_string().replace("\"ROUTE\"", route);
+    let (catalog, mut cache) = (Catalog::default(), CanonicalCache::default());
+    let submission = RevisionBody::parse(text.as_bytes()).and_then(|body| {
+        let document = catalog.current().document();
+        body.submission(0, text.as_bytes(), catalog.revision(), document, &mut cache)
+    });
+    let faults = submission.expect_err("the route can't be read");
+    assert_eq!(faults.0[0].code, ResultCode::PatchMalformed.number());
+}
+
 #[test]
 fn truncated_revision_is_rejected() {
     let text = full_config(4, first_routes()).to_string();
@@ -193,14 +218,18 @@
         ..ProptestConfig::default()
     })]
 
-    /// After any sequence of full configurations, exactly the last one is active.
+    /// After any sequence of full configurations, exactly the last one is active; what is known of earlier ones only
+    /// saves time.
     #[test]
     fn last_revision_is_active(revisions in prop::collection::vec(any_full_config(), 1..8)) {
-        let mut catalog = Catalog::default();
+        let (mut catalog, mut cache) = (Catalog::default(), CanonicalCache::default());
         for (i, mut document) in revisions.into_iter().enumerate() {
             let active = Revision { number: catalog.revision().number, ..catalog.revision() };
             document["version"] = (active.number + 1 + i as u64).into();
-            let outcome = submit(&mut catalog, active.number, &document);
+            let text = document.to_string();
+            let submission = submission_with(&mut cache, &catalog, active.number, &text);
+            prop_assert_eq!(&submission, &self::submission(&catalog, active.number, &text));
+            let outcome = catalog.apply(&submission);
             prop_assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
             prop_assert_eq!(read_back(&catalog), document);
         }
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
-use kingcuplift_config::{Catalog, Outcome, Submission};
+use kingcuplift_config::{CanonicalCache, Catalog, Outcome, Submission};
 use kingcuplift_core::{Event, MemberId, NodeName, ResultCode};
 use kingcuplift_quorum::{
     DiskFolder, Effect, Event as Input, Formation, Identity, InitialMembers, MembershipController,
@@ -89,6 +89,8 @@
     /// Moves that the leader is carrying out.
     pub(crate) moves: MoveController,
     pub(crate) catalog: Catalog,
+    /// Makes configurations that differ little from the previous one cheap to read.
+    pub(crate) canonical_cache: CanonicalCache,
     pending_responses: HashMap<Token, oneshot::Sender<Response>>,
     last_token: Token,
     pub(crate) relays: Relays,
@@ -138,6 +140,7 @@
             membership_controller: MembershipController::default(),
             moves: MoveController::default(),
             catalog,
+            canonical_cache: CanonicalCache::default(),
             pending_responses: HashMap::new(),
             last_token: 0,
             relays: Relays::default(),
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -61,16 +61,19 @@
     }
 
     /// Builds the submission of a full configuration, or returns its outcome if that is known without a proposal.
-    fn check_revision(&self, message: &ReplaceConfig) -> Result<Submission, Outcome> {
-        let body = RevisionBody::parse(&message.text).map_err(Outcome::refused)?;
+    fn check_revision(&mut self, message: &ReplaceConfig) -> Result<Submission, Outcome> {
+        let ReplaceConfig { after, text } = message;
+        let body = RevisionBody::parse(text).map_err(Outcome::refused)?;
         let current = self.catalog.revision();
         let document = self.catalog.current().document();
-        let mut submission = body.submission(message.after, &message.text, current, document);
+        let submission =
+            body.submission(*after, text, current, document, &mut self.canonical_cache);
+        let mut submission = submission.map_err(Outcome::refused)?;
         submission.at_ms = wall_ms();
         if let Some(outcome) = self.catalog.recorded_outcome(&submission) {
             return Err(outcome);
         }
-        if message.after == current.number {
+        if *after == current.number {
             let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
             patch.stage(document, self.catalog.head().next()).map_err(Outcome::refused)?;
         }
