Soak: the troubles of a whole site, plain processes, final kill

The report states how much of a processor the busiest member and node use.

An operator that got no clear response learns from a read whether its version is in force; before, all its later submissions were refused.

The actions that end faults were moved to soak/faults.rs; their checks are unchanged. PlaintextSite::wipe takes the name of a member.

--- a/crates/cli/tests/open_calls.rs
+++ b/crates/cli/tests/open_calls.rs
@@ -194,7 +194,7 @@
     assert_eq!(put_revision(&site, 0, &desk_configuration(3)).status, 201);
     let before = voter_at(&site, &site.operator_address(1)).expect("the member has a vote");
     site.kill("core-1");
-    site.wipe(1);
+    site.wipe("core-1");
     site.start_process("core-1");
     site.wait("the new member's vote", |site| {
         let now = voter_at(site, &site.operator_address(1));
--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -29,6 +29,18 @@
     /// number of routes without calls, which some versions change all at once
     #[argh(option)]
     idle_routes: Option<usize>,
+    /// mean time between two submissions of one operator, in milliseconds
+    #[argh(option)]
+    submit_ms: Option<u64>,
+    /// number of threads that send calls
+    #[argh(option, default = "4")]
+    callers: u64,
+    /// connect the processes directly, without faults of links
+    #[argh(switch)]
+    direct: bool,
+    /// kill all processes right after the last confirmation
+    #[argh(switch)]
+    kill_at_end: bool,
     /// share of a processor that each member may use; 0 means no limit
     #[argh(option, default = "0.0")]
     member_share: f64,
@@ -54,9 +66,15 @@
         };
         let fault_duration = Duration::from_secs(arguments.seconds);
         let (member_share, node_share) = (arguments.member_share, arguments.node_share);
+        let submit_interval =
+            arguments.submit_ms.map_or(options.submit_interval, Duration::from_millis);
         let idle_routes = arguments.idle_routes.unwrap_or(options.idle_routes);
         let report = run_soak(SoakOptions {
             fault_duration,
+            submit_interval,
+            callers: arguments.callers,
+            is_proxied: !arguments.direct,
+            ends_with_kill: arguments.kill_at_end,
             idle_routes,
             member_share,
             node_share,
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -15,6 +15,8 @@
 
 /// Longest time that a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time that a test waits for a part of a response.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Availability zones, assigned to processes in turn.
@@ -87,6 +89,8 @@
     /// Hosts that the members advertise; the same as `hosts` unless the site is proxied.
     advertised_hosts: Vec<String>,
     is_proxied: bool,
+    /// Election timeout of the members, unless it is the default.
+    election_timeout: Option<Duration>,
     proxied_addresses: Vec<ProxiedAddress>,
     nodes: BTreeMap<String, NodeAddresses>,
     settings: BTreeMap<String, String>,
@@ -96,17 +100,23 @@
 impl PlaintextSite {
     /// Starts members, and a node for each target.
     pub fn start(members: usize, targets: &[SocketAddr]) -> Self {
-        Self::start_with(members, targets, false)
+        Self::start_with(members, targets, false, None)
     }
 
     /// Starts members and nodes that connect to each other through [`Self::proxied_addresses`].
     ///
     /// The test must run a proxy for each of these.
     pub fn start_proxied(members: usize, targets: &[SocketAddr]) -> Self {
-        Self::start_with(members, targets, true)
+        Self::start_with(members, targets, true, None)
     }
 
-    fn start_with(members: usize, targets: &[SocketAddr], is_proxied: bool) -> Self {
+    /// Starts members with an election timeout, and a node for each target; see [`Self::start_proxied`] for proxies.
+    pub(crate) fn start_with(
+        members: usize,
+        targets: &[SocketAddr],
+        is_proxied: bool,
+        election_timeout: Option<Duration>,
+    ) -> Self {
         let allocate_hosts =
             || (0..members).map(|_| AddressPool::new().host().to_owned()).collect();
         let hosts: Vec<String> = allocate_hosts();
@@ -116,6 +126,7 @@
             hosts,
             advertised_hosts,
             is_proxied,
+            election_timeout,
             proxied_addresses: Vec::new(),
             nodes: BTreeMap::new(),
             settings: BTreeMap::new(),
@@ -173,15 +184,56 @@
     /// Restarts a node with another time between SIGTERM and its forced end, in seconds.
     pub fn set_grace(&mut self, node: &str, grace_s: f64) {
         self.kill(node);
-        let path = &self.settings[node];
-        let text = std::fs::read_to_string(path).expect("the settings exist");
-        let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        let mut settings = self.read_settings(node);
         settings["node"]["stop_ms"] = Value::Null;
         settings["node"]["grace_s"] = json!(grace_s);
-        std::fs::write(path, settings.to_string()).expect("the file can be written");
+        std::fs::write(&self.settings[node], settings.to_string())
+            .expect("the file can be written");
         self.start_process(node);
     }
 
+    /// Adds a member with an empty data folder at a new address, and returns its name; it is not started yet.
+    pub fn add_member(&mut self) -> String {
+        let host = AddressPool::new().host().to_owned();
+        self.advertised_hosts.push(match self.is_proxied {
+            true => AddressPool::new().host().to_owned(),
+            false => host.clone(),
+        });
+        self.hosts.push(host);
+        let number = self.hosts.len();
+        let settings = self.member_settings(number, false);
+        self.write_settings(&format!("core-{number}"), &settings);
+        format!("core-{number}")
+    }
+
+    /// Removes a process that is not running, for good.
+    pub fn remove(&mut self, name: &str) {
+        self.settings.remove(name);
+    }
+
+    /// Returns the availability zone of a process.
+    pub fn zone(&self, name: &str) -> String {
+        let settings = self.read_settings(name);
+        settings["zone"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Replaces the seeds in the settings of a process by these members.
+    pub fn set_seeds(&self, name: &str, members: &[String]) {
+        let mut settings = self.read_settings(name);
+        let numbers = members.iter().filter_map(|member| member_number(member));
+        let seeds: Vec<String> = numbers
+            .map(|number| format!("{}:{HTTP_PORT}", self.advertised_hosts[number - 1]))
+            .collect();
+        settings["links"]["seeds"] = json!(seeds);
+        std::fs::write(&self.settings[name], settings.to_string())
+            .expect("the file can be written");
+    }
+
+    fn read_settings(&self, name: &str) -> Value {
+        let text = std::fs::read_to_string(&self.settings[name]).expect("the settings exist");
+        serde_json::from_str(&text).expect("the settings are JSON")
+    }
+
     /// Starts a process that is not running.
     pub fn start_process(&mut self, name: &str) {
         let arguments = ["--settings".to_owned(), self.settings[name].clone()];
@@ -198,11 +250,12 @@
     }
 
     /// Deletes the data folder of a member that is not running; from then on it starts as a new member.
-    pub fn wipe(&mut self, number: usize) {
+    pub fn wipe(&mut self, name: &str) {
+        let number = member_number(name).expect("the name of a member");
         let data = self.folder.path().join(format!("data-{number}"));
         std::fs::remove_dir_all(data).expect("the folder can be removed");
         let settings = self.member_settings(number, false);
-        self.write_settings(&format!("core-{number}"), &settings);
+        self.write_settings(name, &settings);
     }
 
     /// Sends a signal to a process.
@@ -244,6 +297,17 @@
         child.wait().is_ok_and(|status| status.success())
     }
 
+    /// Returns whether a process has exited by itself or after a signal; it then counts as not running.
+    pub fn has_exited(&mut self, name: &str) -> bool {
+        let child = self.running.get_mut(name);
+        let has_exited =
+            child.is_none_or(|child| child.try_wait().is_ok_and(|exit| exit.is_some()));
+        if has_exited {
+            self.running.remove(name);
+        }
+        has_exited
+    }
+
     /// Returns the addresses of a node.
     pub fn addresses(&self, node: &str) -> &NodeAddresses {
         &self.nodes[node]
@@ -254,6 +318,17 @@
         format!("{}:{HTTP_PORT}", self.hosts[number - 1])
     }
 
+    /// Returns the address of the operator API of a member, by its name.
+    pub(crate) fn operator_address_of(&self, name: &str) -> String {
+        self.operator_address(member_number(name).expect("the name of a member"))
+    }
+
+    /// Returns the name of the member whose operator API has this address, unless it is gone for good.
+    pub(crate) fn member_at(&self, address: &str) -> Option<String> {
+        let names = self.settings.keys().filter(|name| member_number(name).is_some());
+        names.into_iter().find(|name| self.operator_address_of(name) == address).cloned()
+    }
+
     /// Returns the log of a process.
     pub fn log(&self, name: &str) -> String {
         let path = self.folder.path().join(format!("{name}.log"));
@@ -336,6 +411,7 @@
                 "listen": format!("{host}:{SOURCE_PORT}"),
                 "advertise": source,
                 "first_start": is_first,
+                "election_ms": self.election_timeout.map(|time| time.as_millis() as u64),
             },
             "relay": {
                 "listen": format!("{host}:{RELAY_PORT}"),
@@ -392,6 +468,11 @@
     }
 }
 
+/// Returns the number in the name of a member.
+pub(crate) fn member_number(name: &str) -> Option<usize> {
+    name.strip_prefix("core-")?.parse().ok()
+}
+
 /// Sends a request and follows one redirect.
 pub(crate) fn request_with_redirect(
     address: &str,
@@ -400,22 +481,50 @@
     headers: &str,
     body: &str,
 ) -> RawResponse {
-    let response = request(address, method, path, headers, body);
+    follow_redirect(address, method, path, headers, body, READ_TIMEOUT).1
+}
+
+/// Sends a request and follows one redirect; returns the response and the address that it came from.
+pub(crate) fn follow_redirect(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    timeout: Duration,
+) -> (String, RawResponse) {
+    let response = request_within(address, method, path, headers, body, timeout);
     match response.header("location") {
         Some(location) if response.status == 307 => {
             let url = location.trim_start_matches("http://");
             let host = url.split('/').next().unwrap_or(url).to_owned();
-            request(&host, method, path, headers, body)
+            let response = request_within(&host, method, path, headers, body, timeout);
+            (host, response)
         }
-        _ => response,
+        _ => (address.to_owned(), response),
     }
 }
 
 /// Sends one request on a new connection and reads the response.
 pub fn request(address: &str, method: &str, path: &str, headers: &str, body: &str) -> RawResponse {
+    request_within(address, method, path, headers, body, READ_TIMEOUT)
+}
+
+/// Sends one request on a new connection and reads the response, waiting for up to `timeout` for each part of it.
+fn request_within(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    timeout: Duration,
+) -> RawResponse {
     let Some(mut stream) = send_request(address, method, path, headers, body) else {
         return RawResponse::default();
     };
+    if stream.set_read_timeout(Some(timeout)).is_err() {
+        return RawResponse::default();
+    }
     let mut bytes = Vec::new();
     // A response that is cut off is parsed as far as it was received.
     let _result = stream.read_to_end(&mut bytes);
@@ -432,7 +541,7 @@
 ) -> Option<TcpStream> {
     let address: SocketAddr = address.parse().ok()?;
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
     let host = match headers.to_ascii_lowercase().contains("host:") {
         true => String::new(),
         false => format!("host: {address}\r\n"),
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -2,6 +2,7 @@
 //! callers, operators and targets observe.
 
 mod backend;
+mod faults;
 mod load;
 mod probes;
 mod proxy;
@@ -14,30 +15,24 @@
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use self::backend::{Backend, RunCounts};
-use self::load::{OPERATORS, Observations, Shared, lock};
+use self::faults::Action;
+use self::load::{Members, OPERATORS, Observations, Shared, lock};
 use self::probes::Disturbance;
 pub use self::proxy::{Proxy, ProxyFault};
 use self::throttle::Throttle;
 use crate::plaintext_site::{PlaintextSite, request, request_with_redirect};
 
-/// Number of threads that send calls.
-const CALLERS: u64 = 4;
 /// Number of threads that probe the configuration in force at the nodes.
 const PROBERS: u64 = 4;
 /// Longest time until the site serves again after the last fault has ended.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-/// Shortest time between two wipes; the member wiped first must have been replaced by then.
-const MIN_WIPE_INTERVAL: Duration = Duration::from_secs(9);
-/// Time after its start within which a process may not have installed its signal handlers yet.
-const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(300);
-/// Interval of the checks for faults that are to end.
-const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay that [`Fault::Delay`] adds to a link.
-const LINK_DELAY: Duration = Duration::from_millis(60);
+/// Election timeout of sites with many processes, as in `platform/source.json`.
+const LONG_ELECTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval of the checks for actions that are due.
+const ACTION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Parameters of a soak.
 #[derive(Debug, Clone, Copy)]
@@ -50,6 +45,14 @@
     pub members: usize,
     /// Number of nodes, each with a target.
     pub nodes: usize,
+    /// Number of threads that send calls.
+    pub callers: u64,
+    /// Election timeout of the members, unless it is the default.
+    pub election_timeout: Option<Duration>,
+    /// Whether all links pass through proxies that disturb them.
+    pub is_proxied: bool,
+    /// Whether all processes are killed right after the last confirmation.
+    pub ends_with_kill: bool,
     /// Longest pause between two faults.
     pub fault_interval: Duration,
     /// Longest time that a fault lasts.
@@ -72,6 +75,10 @@
             fault_duration: Duration::from_secs(8),
             members: 3,
             nodes: 4,
+            callers: 4,
+            election_timeout: None,
+            is_proxied: true,
+            ends_with_kill: false,
             fault_interval: Duration::from_millis(600),
             longest_fault: Duration::from_millis(2_500),
             submit_interval: Duration::from_millis(150),
@@ -91,6 +98,7 @@
             longest_fault: Duration::from_secs(9),
             submit_interval: Duration::from_millis(800),
             idle_routes: 800,
+            election_timeout: Some(LONG_ELECTION_TIMEOUT),
             ..Self::short(seed)
         }
     }
@@ -111,6 +119,8 @@
     pub probes: usize,
     /// Longest time after its confirmation at which an undisturbed node lacked a version.
     pub longest_lag: Duration,
+    /// Largest share of a processor that a member, and a node, has used since its last start.
+    pub processor_shares: (f64, f64),
     /// Injected faults in their order, each with its time in seconds.
     pub injected_faults: Vec<String>,
     /// Violated guarantees.
@@ -123,65 +133,31 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} calls, {} answered, {} versions, {} probes, lag {:.0?}, {} faults, {} violations",
+            "seed {}: {} calls, {} answered, {} versions, {} probes, lag {:.0?}, processor {:.3} {:.3}, \
+             {} faults, {} violations",
             self.seed,
             self.calls,
             self.answered,
             self.versions,
             self.probes,
             self.longest_lag,
+            self.processor_shares.0,
+            self.processor_shares.1,
             self.injected_faults.len(),
             self.violations.len()
         )
     }
 }
 
-/// Fault that is injected into a site.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    Kill,
-    KillAllMembers,
-    Pause,
-    Terminate,
-    Reload,
-    Wipe,
-    Delay,
-    BlockInbound,
-    BlockOutbound,
-    BlockAll,
-    ResetConnections,
-    StallConnections,
-}
-
-const FAULTS: [Fault; 12] = [
-    Fault::Kill,
-    Fault::KillAllMembers,
-    Fault::Pause,
-    Fault::Terminate,
-    Fault::Reload,
-    Fault::Wipe,
-    Fault::Delay,
-    Fault::BlockInbound,
-    Fault::BlockOutbound,
-    Fault::BlockAll,
-    Fault::ResetConnections,
-    Fault::StallConnections,
-];
-
-/// Action that ends a fault at a later time.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Recovery {
-    Start(String),
-    Resume(String),
-    ClearProxyFault(String),
-}
-
 /// A site under fault injection.
 struct Soak {
     site: PlaintextSite,
     proxies: BTreeMap<String, Vec<Proxy>>,
     rng: SmallRng,
-    pending_recoveries: Vec<(Instant, Recovery)>,
+    /// Actions that are due later, such as the ends of faults.
+    scheduled: Vec<(Instant, Action)>,
+    members: Members,
+    observations: Arc<Observations>,
     injected_faults: Vec<String>,
     started_at: Instant,
     wiped_at: Option<Instant>,
@@ -200,158 +176,6 @@
         };
         self.throttle.limit(name, self.site.process_id(name), share);
     }
-
-    /// Records that a process is disturbed from now on.
-    fn begin_disturbance(&mut self, process: &str, fault: Fault) {
-        let is_restart =
-            matches!(fault, Fault::Kill | Fault::KillAllMembers | Fault::Terminate | Fault::Wipe);
-        self.disturbances.push(Disturbance {
-            process: process.to_owned(),
-            began_at: Instant::now(),
-            ended_at: None,
-            is_restart,
-            is_absent: is_restart || fault == Fault::Pause,
-        });
-    }
-
-    /// Records that the disturbances of a process are over.
-    fn end_disturbances(&mut self, process: &str) {
-        let ended_at = Some(Instant::now());
-        let own = self.disturbances.iter_mut().filter(|d| d.process == process);
-        own.filter(|d| d.ended_at.is_none()).for_each(|d| d.ended_at = ended_at);
-    }
-
-    fn is_starting(&self, name: &str) -> bool {
-        self.start_times.get(name).is_some_and(|at| at.elapsed() < SIGNAL_SETUP_TIME)
-    }
-
-    fn record_fault(&mut self, text: String) {
-        self.injected_faults.push(format!("{:.2} {text}", self.started_at.elapsed().as_secs_f64()));
-    }
-
-    fn has_pending_recovery(&self, name: &str) -> bool {
-        self.pending_recoveries.iter().any(|(_, recovery)| match recovery {
-            Recovery::Start(process)
-            | Recovery::Resume(process)
-            | Recovery::ClearProxyFault(process) => process == name,
-        })
-    }
-
-    fn schedule_recovery(&mut self, recovery: Recovery) {
-        let millis = self.rng.random_range(150..self.options.longest_fault.as_millis() as u64);
-        self.pending_recoveries.push((Instant::now() + Duration::from_millis(millis), recovery));
-    }
-
-    fn set_proxy_fault(&mut self, name: &str, fault: ProxyFault) {
-        for proxy in &self.proxies[name] {
-            proxy.set_fault(fault);
-        }
-        self.schedule_recovery(Recovery::ClearProxyFault(name.to_owned()));
-    }
-
-    fn inject(&mut self, fault: Fault) {
-        let names = self.site.names();
-        let Some(name) = names.choose(&mut self.rng).cloned() else { return };
-        let is_member = name.starts_with("core");
-        if self.has_pending_recovery(&name) || !self.site.is_started(&name) {
-            return;
-        }
-        if fault != Fault::KillAllMembers {
-            self.begin_disturbance(&name, fault);
-        }
-        if matches!(fault, Fault::Kill | Fault::Terminate | Fault::Wipe | Fault::Pause) {
-            self.throttle.release(&name);
-        }
-        match fault {
-            Fault::Kill => {
-                self.site.kill(&name);
-                self.schedule_recovery(Recovery::Start(name.clone()));
-            }
-            Fault::KillAllMembers => {
-                for member in names.iter().filter(|name| name.starts_with("core")) {
-                    if self.site.is_started(member) && !self.has_pending_recovery(member) {
-                        self.begin_disturbance(member, fault);
-                        self.throttle.release(member);
-                        self.site.kill(member);
-                        self.schedule_recovery(Recovery::Start(member.clone()));
-                    }
-                }
-            }
-            Fault::Pause => {
-                self.site.signal(&name, "-STOP");
-                self.schedule_recovery(Recovery::Resume(name.clone()));
-            }
-            Fault::Terminate => {
-                self.site.signal(&name, "-TERM");
-                self.site.wait_exited(&name);
-                self.schedule_recovery(Recovery::Start(name.clone()));
-            }
-            // SIGHUP would end a process that has not installed its signal handlers yet.
-            Fault::Reload if self.is_starting(&name) => return self.end_disturbances(&name),
-            Fault::Reload => self.site.signal(&name, "-HUP"),
-            Fault::Wipe if is_member && self.can_wipe() => {
-                self.site.kill(&name);
-                let number = name.trim_start_matches("core-").parse().expect("a member's number");
-                self.site.wipe(number);
-                self.wiped_at = Some(Instant::now());
-                self.schedule_recovery(Recovery::Start(name.clone()));
-            }
-            Fault::Wipe => return self.end_disturbances(&name),
-            Fault::Delay => self.set_proxy_fault(&name, ProxyFault::Delay(LINK_DELAY)),
-            Fault::BlockInbound => self.set_proxy_fault(&name, ProxyFault::BlockInbound),
-            Fault::BlockOutbound => self.set_proxy_fault(&name, ProxyFault::BlockOutbound),
-            Fault::BlockAll => self.set_proxy_fault(&name, ProxyFault::BlockAll),
-            Fault::ResetConnections => {
-                self.proxies[&name].iter().for_each(Proxy::reset_connections)
-            }
-            Fault::StallConnections => {
-                self.proxies[&name].iter().for_each(Proxy::stall_connections)
-            }
-        }
-        if !self.has_pending_recovery(&name) {
-            self.end_disturbances(&name);
-        }
-        self.record_fault(format!("{fault:?} {name}"));
-    }
-
-    /// Returns whether a majority of members still has all data when one disk is lost now.
-    fn can_wipe(&self) -> bool {
-        let members = self.site.names().into_iter().filter(|name| name.starts_with("core"));
-        let all_healthy = members
-            .into_iter()
-            .all(|name| self.site.is_started(&name) && !self.has_pending_recovery(&name));
-        let is_settled = self.started_at.elapsed() > Duration::from_secs(2);
-        all_healthy && is_settled && self.wiped_at.is_none_or(|at| at.elapsed() > MIN_WIPE_INTERVAL)
-    }
-
-    /// Ends the faults whose time has come, or every fault if `all` is set.
-    fn recover(&mut self, all: bool) {
-        let now = Instant::now();
-        let (due, rest) = std::mem::take(&mut self.pending_recoveries)
-            .into_iter()
-            .partition(|(at, _)| all || *at <= now);
-        self.pending_recoveries = rest;
-        let due: Vec<(Instant, Recovery)> = due;
-        for (_, recovery) in due {
-            match recovery {
-                Recovery::Start(name) => {
-                    self.site.start_process(&name);
-                    self.throttle(&name);
-                    self.end_disturbances(&name);
-                    self.start_times.insert(name, now);
-                }
-                Recovery::Resume(name) => {
-                    self.site.signal(&name, "-CONT");
-                    self.throttle(&name);
-                    self.end_disturbances(&name);
-                }
-                Recovery::ClearProxyFault(name) => {
-                    self.proxies[&name].iter().for_each(|p| p.set_fault(ProxyFault::None));
-                    self.end_disturbances(&name);
-                }
-            }
-        }
-    }
 }
 
 /// Runs the soak and returns its result.
@@ -361,27 +185,24 @@
     let backends: Vec<Backend> =
         (1..=options.nodes).map(|number| Backend::start(number, &run_counts, &shared.1)).collect();
     let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
-    let site = PlaintextSite::start_proxied(options.members, &addresses);
-    let mut proxies: BTreeMap<String, Vec<Proxy>> = BTreeMap::new();
-    for address in site.proxied_addresses() {
-        proxies
-            .entry(address.process.clone())
-            .or_default()
-            .push(Proxy::start(&address.advertised, &address.listen));
-    }
+    let (is_proxied, election_timeout) = (options.is_proxied, options.election_timeout);
+    let site = PlaintextSite::start_with(options.members, &addresses, is_proxied, election_timeout);
     let nodes: Vec<String> = (1..=options.nodes).map(|number| format!("node-{number}")).collect();
     for (backend, node) in backends.iter().zip(&nodes) {
         backend.start_reporting(site.addresses(node).admin.clone());
     }
-    let members: Vec<String> =
-        (1..=options.members).map(|number| site.operator_address(number)).collect();
+    let members =
+        (1..=options.members).map(|number| site.operator_address(number)).collect::<Vec<_>>();
+    let members: Members = Arc::new(Mutex::new(members));
     let callers: Vec<String> =
         nodes.iter().map(|node| site.addresses(node).callers.clone()).collect();
     let mut soak = Soak {
         site,
-        proxies,
+        proxies: BTreeMap::new(),
         rng: SmallRng::seed_from_u64(options.seed),
-        pending_recoveries: Vec::new(),
+        scheduled: Vec::new(),
+        members: Arc::clone(&members),
+        observations: Arc::clone(&shared.0),
         injected_faults: Vec::new(),
         started_at: Instant::now(),
         wiped_at: None,
@@ -390,6 +211,7 @@
         options,
         throttle: Throttle::default(),
     };
+    soak.start_proxies();
     let (observations, is_stopped) = (Arc::clone(&shared.0), Arc::clone(&shared.1));
     submit_first_version(&soak.site, &observations, options.idle_routes);
     let mut threads = start_load(&members, &callers, options, &shared);
@@ -407,16 +229,20 @@
     }
     soak.started_at = Instant::now();
     while soak.started_at.elapsed() < options.fault_duration {
-        let fault = *FAULTS.choose(&mut soak.rng).expect("the list of faults is not empty");
+        let fault = soak.draw_fault();
         soak.inject(fault);
         let longest = options.fault_interval.as_millis() as u64;
         let until = Instant::now() + Duration::from_millis(soak.rng.random_range(30..longest));
         while Instant::now() < until {
-            std::thread::sleep(RECOVERY_POLL_INTERVAL);
-            soak.recover(false);
+            std::thread::sleep(ACTION_POLL_INTERVAL);
+            soak.perform_due(false);
         }
     }
-    soak.recover(true);
+    soak.perform_due(true);
+    let processor_shares = soak.processor_shares();
+    if options.ends_with_kill {
+        soak.kill_all_after_confirmation();
+    }
     check_recovery(&soak.site, &members, &callers, &observations);
     is_stopped.store(true, Ordering::Release);
     for thread in threads {
@@ -436,6 +262,7 @@
         versions: lock(&observations.confirmed).len(),
         probes,
         longest_lag,
+        processor_shares,
         injected_faults: soak.injected_faults,
         logs: if violations.is_empty() { String::new() } else { soak.site.logs() },
         violations,
@@ -457,27 +284,31 @@
 }
 
 fn start_load(
-    members: &[String],
+    members: &Members,
     callers: &[String],
     options: SoakOptions,
     shared: &Shared,
 ) -> Vec<std::thread::JoinHandle<()>> {
     let mut threads = Vec::new();
-    for number in 0..CALLERS {
+    for number in 0..options.callers {
         let (callers, (observations, is_stopped)) = (callers.to_vec(), shared.clone());
         threads.push(std::thread::spawn(move || {
             load::send_calls(&callers, number, options.seed, &observations, &is_stopped);
         }));
     }
     for author in 1..=OPERATORS {
-        let (members, (observations, is_stopped)) = (members.to_vec(), shared.clone());
+        let (members, (observations, is_stopped)) = (Arc::clone(members), shared.clone());
         threads.push(std::thread::spawn(move || {
             load::submit_versions(&members, author, options, &observations, &is_stopped);
         }));
     }
-    let (members, (observations, is_stopped)) = (members.to_vec(), shared.clone());
+    let (readers, (observations, is_stopped)) = (Arc::clone(members), shared.clone());
+    threads.push(std::thread::spawn(move || {
+        load::read_versions(&readers, options.seed, &observations, &is_stopped)
+    }));
+    let (members, (observations, is_stopped)) = (Arc::clone(members), shared.clone());
     threads.push(std::thread::spawn(move || {
-        load::read_versions(&members, options.seed, &observations, &is_stopped)
+        load::submit_invalid(&members, options.seed, &observations, &is_stopped)
     }));
     threads
 }
@@ -485,10 +316,11 @@
 /// Waits until every node serves calls and every member returns the newest confirmed version.
 fn check_recovery(
     site: &PlaintextSite,
-    members: &[String],
+    members: &Members,
     callers: &[String],
     observations: &Observations,
 ) {
+    let members = lock(members).clone();
     let until = Instant::now() + RECOVERY_LIMIT;
     let headers = "host: a.example\r\nx-call: last\r\nx-left: 1000\r\n";
     let serves =
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::plaintext_site::{RawResponse, request_with_redirect};
+use crate::plaintext_site::{RawResponse, follow_redirect, request_with_redirect};
 use crate::soak::SoakOptions;
 use crate::soak::probes::Probe;
 
@@ -27,6 +27,21 @@
 pub(super) const STALENESS_LIMIT: Duration = Duration::from_secs(2);
 /// Attempts of one submission; each goes to another member.
 const SUBMIT_ATTEMPTS: usize = 12;
+/// Time that an operator waits for a response before it turns to another member.
+const OPERATOR_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Fraction of the submissions that begin a series.
+const SERIES_FRACTION: f64 = 0.06;
+/// Submissions of a series, and their interval.
+const SERIES_LENGTH: u32 = 20;
+const SERIES_INTERVAL: Duration = Duration::from_millis(60);
+/// Fraction of the confirmed versions that are submitted once more, as if the confirmation had been lost.
+const REPEAT_FRACTION: f64 = 0.2;
+/// Interval of the invalid configurations.
+const INVALID_INTERVAL: Duration = Duration::from_millis(700);
+/// Factor by which some versions have more routes without calls.
+const GROWTH: usize = 5;
+/// Difference of version numbers after which the number of these routes changes.
+const GROWTH_PERIOD: u64 = 90;
 
 /// A confirmed version.
 #[derive(Debug, Clone)]
@@ -46,6 +61,10 @@
     pub(super) at_most_once: Mutex<BTreeMap<String, bool>>,
     /// Confirmed versions by number.
     pub(super) confirmed: Mutex<BTreeMap<u64, Confirmed>>,
+    /// Versions whose submission got no clear response.
+    unclear: Mutex<BTreeMap<u64, (Value, Vec<u64>)>>,
+    /// Address of the member that confirmed a version last.
+    pub(super) confirmer: Mutex<Option<String>>,
     /// Versions whose submission was refused, with the time of the refusal.
     pub(super) refused: Mutex<BTreeMap<u64, Instant>>,
     /// What nodes have shown of their configuration.
@@ -92,7 +111,8 @@
     for version in chain.iter().skip(oldest).chain([&number]) {
         document["routes"][format!("own-{version}")] = route(own_prefix(*version));
     }
-    for index in 0..idle_routes {
+    let growth = if (number / GROWTH_PERIOD) % 2 == 1 { GROWTH } else { 2 };
+    for index in 0..idle_routes * growth / 2 {
         let mut idle = route(format!("/idle-{index}/"));
         // Some versions change all of them.
         idle["timeout_ms"] = json!(2_000 + number / IDLE_CHANGE_PERIOD);
@@ -203,56 +223,173 @@
     }
 }
 
+/// Addresses of the operator API of all members, which change when one is replaced.
+pub(super) type Members = Arc<Mutex<Vec<String>>>;
+
+/// Returns the address of a member, whatever the number.
+fn member(members: &Members, number: usize) -> String {
+    let addresses = lock(members);
+    addresses[number % addresses.len()].clone()
+}
+
 /// Submits versions until `is_stopped` is set, in competition with the other authors.
 pub(super) fn submit_versions(
-    members: &[String],
+    members: &Members,
     author: u64,
     options: SoakOptions,
     observations: &Observations,
     is_stopped: &AtomicBool,
 ) {
     let mut rng = SmallRng::seed_from_u64(options.seed ^ (author << 32));
+    let (mut series, mut last_number) = (0, 0);
     while !is_stopped.load(Ordering::Acquire) {
-        std::thread::sleep(options.submit_interval.mul_f64(rng.random_range(0.5..1.5)));
+        series = match series {
+            0 if rng.random_bool(SERIES_FRACTION) => SERIES_LENGTH,
+            0 => 0,
+            left => left - 1,
+        };
+        std::thread::sleep(match series {
+            0 => options.submit_interval.mul_f64(rng.random_range(0.5..1.5)),
+            _ => SERIES_INTERVAL,
+        });
         let chain = {
             let confirmed = lock(&observations.confirmed);
             confirmed.last_key_value().map(|(_, last)| last.chain.clone()).unwrap_or_default()
         };
         let base = chain.last().copied().unwrap_or(0);
-        // Authors never choose the same number: a refused one is in force nowhere.
+        // No number is chosen twice: a refused one is in force nowhere, and an unclear one stands for one document.
         let number = (base / OPERATORS + rng.random_range(1..3)) * OPERATORS + author - 1;
+        let number = number.max(last_number + OPERATORS);
+        last_number = number;
         let document = document(number, author, &chain, options.idle_routes);
-        let mut index = rng.random_range(0..members.len());
+        let first_member = rng.random_range(0..64);
+        let chain = chain.into_iter().chain([number]).collect();
+        let submission = Submission { base, number, document, chain };
+        match submission.send(members, first_member, observations) {
+            Outcome::Confirmed if rng.random_bool(REPEAT_FRACTION) => {
+                submission.repeat(members, first_member + 1, observations);
+            }
+            Outcome::Confirmed => {}
+            Outcome::Refused => {
+                lock(&observations.refused).insert(number, Instant::now());
+                learn_version(members, first_member, observations);
+            }
+            Outcome::Unclear => {
+                let unclear = (submission.document, submission.chain);
+                lock(&observations.unclear).insert(number, unclear);
+                learn_version(members, first_member, observations);
+            }
+        }
+    }
+}
+
+/// A version that an operator submits.
+#[derive(Debug)]
+struct Submission {
+    base: u64,
+    number: u64,
+    document: Value,
+    /// The version and those that it builds on, oldest first.
+    chain: Vec<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Confirmed,
+    Refused,
+    Unclear,
+}
+
+impl Submission {
+    /// Submits the version to one member after the other until a response is clear.
+    fn send(&self, members: &Members, first: usize, observations: &Observations) -> Outcome {
+        let body = self.document.to_string();
         let mut is_unclear = false;
-        for _ in 0..SUBMIT_ATTEMPTS {
-            let member = &members[index % members.len()];
-            let headers = format!("if-match: {base}\r\n");
-            let response = request_with_redirect(
-                member,
-                "PUT",
-                "/v1/revision",
-                &headers,
-                &document.to_string(),
-            );
+        for attempt in 0..SUBMIT_ATTEMPTS {
+            let (confirmer, response) = self.put(&member(members, first + attempt), &body);
             match response.status {
                 200 | 201 => {
-                    let chain = chain.iter().copied().chain([number]).collect();
-                    record_confirmation(observations, number, document, chain);
-                    break;
+                    *lock(&observations.confirmer) = Some(confirmer);
+                    let (document, chain) = (self.document.clone(), self.chain.clone());
+                    record_confirmation(observations, self.number, document, chain);
+                    return Outcome::Confirmed;
                 }
                 400..500 if response.status != 408 && response.status != 429 => {
-                    if !is_unclear {
-                        lock(&observations.refused).insert(number, Instant::now());
-                    }
-                    break;
-                }
-                _ => {
-                    is_unclear = true;
-                    index += 1;
+                    return if is_unclear { Outcome::Unclear } else { Outcome::Refused };
                 }
+                _ => is_unclear = true,
             }
             std::thread::sleep(SUBMIT_INTERVAL);
         }
+        Outcome::Unclear
+    }
+
+    fn put(&self, address: &str, body: &str) -> (String, RawResponse) {
+        let headers = format!("if-match: {}\r\n", self.base);
+        follow_redirect(address, "PUT", "/v1/revision", &headers, body, OPERATOR_TIMEOUT)
+    }
+
+    /// Submits a confirmed version again; it must be confirmed again unless there is a newer one.
+    fn repeat(&self, members: &Members, first: usize, observations: &Observations) {
+        let (address, response) = self.put(&member(members, first), &self.document.to_string());
+        let newest = lock(&observations.confirmed).keys().next_back().copied();
+        let is_refused = matches!(response.status, 400..500)
+            && !matches!(response.status, 408 | 429)
+            && newest == Some(self.number);
+        let shown = request_with_redirect(&address, "GET", "/v1/revision", "", "").json();
+        if is_refused && shown["version"] == json!(self.number) {
+            observations.record_violation(format!(
+                "{address} refused version {} with {}, which it had confirmed and which is in force",
+                self.number, response.status
+            ));
+        }
+    }
+}
+
+/// Records the version in force as confirmed if its submission got no clear response.
+fn learn_version(members: &Members, number: usize, observations: &Observations) {
+    let address = member(members, number);
+    let (_, response) = follow_redirect(&address, "GET", "/v1/revision", "", "", OPERATOR_TIMEOUT);
+    let shown = response.json()["version"].as_u64().unwrap_or(0);
+    let unclear = lock(&observations.unclear).remove(&shown);
+    if let Some((document, chain)) = unclear {
+        record_confirmation(observations, shown, document, chain);
+    }
+}
+
+/// Submits configurations that are invalid until `is_stopped` is set; none may be confirmed.
+pub(super) fn submit_invalid(
+    members: &Members,
+    seed: u64,
+    observations: &Observations,
+    is_stopped: &AtomicBool,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xBAD);
+    while !is_stopped.load(Ordering::Acquire) {
+        std::thread::sleep(INVALID_INTERVAL.mul_f64(rng.random_range(0.2..1.8)));
+        let newest = lock(&observations.confirmed).keys().next_back().copied().unwrap_or(0);
+        let mut document = base_document(newest + OPERATORS * 3, 0);
+        let reads = &mut document["routes"]["reads"];
+        let kind = rng.random_range(0..6);
+        match kind {
+            0 => reads["service"] = json!("unknown"),
+            1 => reads["timeout_ms"] = json!(0),
+            2 => reads["semantics"] = json!("odd"),
+            3 => reads["prefix"] = json!("/book/"),
+            4 => document["version"] = json!(newest),
+            _ => {}
+        }
+        let mut body = document.to_string();
+        if kind == 5 {
+            body.truncate(body.len() - rng.random_range(1..40));
+        }
+        let submission = Submission { base: newest, number: 0, document, chain: Vec::new() };
+        let address = member(members, rng.random_range(0..64));
+        let (_, response) = submission.put(&address, &body);
+        if matches!(response.status, 200 | 201) {
+            observations
+                .record_violation(format!("{address} confirmed an invalid version: {body}"));
+        }
     }
 }
 
@@ -269,7 +406,7 @@
 
 /// Reads the configuration from random members until `is_stopped` is set; none may return a stale version.
 pub(super) fn read_versions(
-    members: &[String],
+    members: &Members,
     seed: u64,
     observations: &Observations,
     is_stopped: &AtomicBool,
@@ -277,9 +414,10 @@
     let mut rng = SmallRng::seed_from_u64(seed ^ 0xF00D);
     while !is_stopped.load(Ordering::Acquire) {
         std::thread::sleep(CALL_INTERVAL * 5);
-        let member = &members[rng.random_range(0..members.len())];
+        let member = member(members, rng.random_range(0..64));
         let sent_at = Instant::now();
-        let response = request_with_redirect(member, "GET", "/v1/revision", "", "");
+        let (_, response) =
+            follow_redirect(&member, "GET", "/v1/revision", "", "", RESPONSE_TIMEOUT);
         if response.status != 200 {
             continue;
         }
--- a/crates/testing/src/soak/probes.rs
+++ b/crates/testing/src/soak/probes.rs
@@ -74,7 +74,9 @@
             let confirmed = lock(&observations.confirmed);
             let refused = lock(&observations.refused);
             let newest = confirmed.keys().rev().take(3);
-            newest.chain(refused.keys().rev().take(1)).copied().collect()
+            // The routes of these versions were dropped lately.
+            let dropped = confirmed.keys().rev().skip(KEPT_ROUTES).take(2);
+            newest.chain(dropped).chain(refused.keys().rev().take(1)).copied().collect()
         };
         let (node, address) = &nodes[rng.random_range(0..nodes.len())];
         let version = recent[rng.random_range(0..recent.len())];
@@ -109,6 +111,8 @@
         match probe.has_route {
             Some(true) => {
                 check_refused(probe, observations);
+                let lag = check_dropped(probe, disturbances, members, observations);
+                longest_lag = longest_lag.max(lag);
                 shown.entry(&probe.node).or_default().push(probe);
             }
             Some(false) => {
@@ -133,24 +137,13 @@
     }
 }
 
-/// Checks a probe that found no route of a version; returns how late the version is, or zero if bounds don't hold.
-fn check_missing(
+/// Returns how long after its confirmation a version must be in force at the probed node, if the node is in touch.
+fn staleness_bound(
     probe: &Probe,
-    earlier: &[&Probe],
+    confirmed_at: Instant,
     disturbances: &[Disturbance],
     members: usize,
-    observations: &Observations,
-) -> Duration {
-    let confirmed = lock(&observations.confirmed);
-    let Some(version) = confirmed.get(&probe.version) else { return Duration::ZERO };
-    // A newer version may have dropped the route, also one whose submission got no clear answer.
-    let later = confirmed.range(probe.version + 1..);
-    let newer = later.filter(|(_, other)| other.at <= probe.answered_at).count();
-    let confirmed_at = version.at;
-    drop(confirmed);
-    if newer + 3 >= KEPT_ROUTES {
-        return Duration::ZERO;
-    }
+) -> Option<Duration> {
     let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
     let since = |time: Duration| probe.sent_at.checked_sub(time).unwrap_or(probe.sent_at);
     let is_calm =
@@ -168,12 +161,69 @@
         .iter()
         .filter(is_member)
         .any(|disturbance| disturbance.unsettles(calm_since, probe.answered_at));
-    let bound = match () {
+    match () {
         () if !is_in_touch => None,
         () if is_stable && has_majority(calm_since) => Some(STALENESS_LIMIT),
         () if has_majority(confirmed_at) => Some(STALENESS_LIMIT + UNSTABLE_SLACK),
         () => None,
+    }
+}
+
+/// Checks a probe that found the route of a version; returns how late the version is that dropped the route, if any.
+fn check_dropped(
+    probe: &Probe,
+    disturbances: &[Disturbance],
+    members: usize,
+    observations: &Observations,
+) -> Duration {
+    let confirmed = lock(&observations.confirmed);
+    let drops = |chain: &[u64]| {
+        let dropped = chain.len().saturating_sub(KEPT_ROUTES);
+        chain[..dropped].contains(&probe.version)
+    };
+    let later = confirmed.range(probe.version + 1..);
+    let dropped_by =
+        later.filter(|(_, other)| drops(&other.chain)).min_by_key(|(_, other)| other.at);
+    let Some((number, at)) = dropped_by.map(|(number, other)| (*number, other.at)) else {
+        return Duration::ZERO;
     };
+    drop(confirmed);
+    let age = probe.sent_at.saturating_duration_since(at);
+    let bound = staleness_bound(probe, at, disturbances, members);
+    if bound.is_some_and(|bound| age > bound) {
+        observations.record_violation(format!(
+            "{} has the route of version {} {:.2} s after the confirmation of {number}, which dropped it",
+            probe.node,
+            probe.version,
+            age.as_secs_f64()
+        ));
+    }
+    match bound {
+        Some(STALENESS_LIMIT) => age,
+        _ => Duration::ZERO,
+    }
+}
+
+/// Checks a probe that found no route of a version; returns how late the version is, or zero if bounds don't hold.
+fn check_missing(
+    probe: &Probe,
+    earlier: &[&Probe],
+    disturbances: &[Disturbance],
+    members: usize,
+    observations: &Observations,
+) -> Duration {
+    let confirmed = lock(&observations.confirmed);
+    let Some(version) = confirmed.get(&probe.version) else { return Duration::ZERO };
+    // A newer version may have dropped the route, also one whose submission got no clear answer.
+    let later = confirmed.range(probe.version + 1..);
+    let newer = later.filter(|(_, other)| other.at <= probe.answered_at).count();
+    let confirmed_at = version.at;
+    drop(confirmed);
+    if newer + 3 >= KEPT_ROUTES {
+        return Duration::ZERO;
+    }
+    let bound = staleness_bound(probe, confirmed_at, disturbances, members);
+    let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
     let age = probe.sent_at.saturating_duration_since(confirmed_at);
     if bound.is_some_and(|bound| age > bound) {
         observations.record_violation(format!(
--- a/crates/testing/src/soak/throttle.rs
+++ b/crates/testing/src/soak/throttle.rs
@@ -81,6 +81,12 @@
     Duration::from_nanos(nanos.unwrap_or(0))
 }
 
+/// Returns the share of a processor that a process has used within `time`.
+pub(super) fn used_share(pid: u32, time: Duration) -> f64 {
+    let pid = i32::try_from(pid).ok().and_then(Pid::from_raw);
+    pid.map_or(0.0, |pid| processor_time(pid).as_secs_f64() / time.as_secs_f64())
+}
+
 fn signal(pid: Pid, signal: Signal) {
     // The process may have ended.
     let _sent = kill_process(pid, signal);
