Source: a leader goes on sending heartbeats while it applies its log (CONFIG with plain processes)

Cause: after a restart the whole log is applied as soon as its end is committed, in one turn of the actor. A leader that takes longer than the election timeout for that sends no heartbeats; the others elect the next one, which then does the same. So the time until the configuration is there grows with the log, the size of the versions and the number of members, and jumps once a log takes longer than the timeout.

Change: committed entries are applied in slices of 4 ms, between which other messages and timers are handled. Until all are applied, the leader is not current: it answers reads and submissions with 503, confirms no freshness, advances no moves, and asks relays to come back, so that no version in between reaches a node.

Failed try: a message that the actor sends itself is handled before its timers; four elections as before.

--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -1,11 +1,11 @@
 //! Actor that connects the replicated log, the catalog and the relays.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use actix::{Actor, AsyncContext, Context, Handler, ResponseFuture};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, ResponseFuture};
 use kingcuplift_config::{CanonicalCache, Catalog, Outcome, Submission};
 use kingcuplift_core::{Event, MemberId, NodeName, ResultCode};
 use kingcuplift_quorum::{
@@ -39,6 +39,8 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 /// Heartbeats per election timeout.
 const HEARTBEATS_PER_ELECTION_TIMEOUT: u64 = 5;
+/// Time for which committed entries are applied before other messages, such as heartbeats, are handled.
+const APPLY_SLICE: Duration = Duration::from_millis(4);
 /// Number of applied entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 10_000;
 
@@ -93,6 +95,9 @@
     pub(crate) canonical_cache: CanonicalCache,
     pending_responses: HashMap<Token, oneshot::Sender<Response>>,
     last_token: Token,
+    /// Committed entries that are not applied to the catalog yet, with the tokens of their proposals.
+    committed: VecDeque<(Entry, Option<Token>)>,
+    own_address: Option<Addr<Self>>,
     pub(crate) relays: Relays,
     pub(crate) last_offer_ms: Millis,
     last_snapshot_index: u64,
@@ -143,6 +148,8 @@
             canonical_cache: CanonicalCache::default(),
             pending_responses: HashMap::new(),
             last_token: 0,
+            committed: VecDeque::new(),
+            own_address: None,
             relays: Relays::default(),
             last_offer_ms: 0,
             last_snapshot_index: 0,
@@ -150,10 +157,36 @@
     }
 
     pub(crate) fn step(&mut self, input: Input) {
+        let was_applying = !self.has_applied_all();
         let Stage::Member(replica) = &mut self.stage else { return };
         for effect in replica.handle(input, monotonic_ms()) {
             self.perform(effect);
         }
+        if !was_applying && !self.has_applied_all() {
+            self.apply_committed();
+        }
+    }
+
+    /// Applies committed entries; if they take long, the rest follows after the messages that wait meanwhile.
+    ///
+    /// After a restart the whole log is applied at once. A leader that sends no heartbeats meanwhile would be replaced by
+    /// another member, which then does the same.
+    fn apply_committed(&mut self) {
+        let started_at = Instant::now();
+        while let Some((entry, token)) = self.committed.pop_front() {
+            self.apply(entry, token);
+            if started_at.elapsed() >= APPLY_SLICE {
+                break;
+            }
+        }
+        match self.own_address.clone() {
+            // A message that the actor sends itself would be handled before its timers.
+            Some(address) if !self.has_applied_all() => drop(actix::spawn(async move {
+                tokio::task::yield_now().await;
+                address.do_send(ApplyCommitted);
+            })),
+            _ => self.relays.fanout.wake_all(),
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -165,7 +198,7 @@
                 }
             }
             Effect::Send { to, message } => self.send(to, message),
-            Effect::Apply { entry, token } => self.apply(entry, token),
+            Effect::Apply { entry, token } => self.committed.push_back((entry, token)),
             Effect::Install(snapshot) => self.install(&snapshot),
             Effect::Refuse { token, refusal } => self.refuse(token, refusal),
             Effect::Report(notice) => self.handle_notice(notice),
@@ -183,13 +216,9 @@
             Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
         };
         let outcome = self.catalog.apply(&submission);
-        let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
-        if is_leader {
-            // Entries of earlier terms have no token; their outcomes were logged when they were decided.
-            if token.is_some() {
-                log_outcome(&submission, &outcome);
-            }
-            self.relays.fanout.wake_all();
+        // Only the leader has tokens. Entries of earlier terms have none; their outcomes were logged before.
+        if token.is_some() {
+            log_outcome(&submission, &outcome);
         }
         if let Some(token) = token {
             self.moves.end_step(token);
@@ -238,6 +267,7 @@
         match Catalog::decode(&snapshot.state) {
             Ok(catalog) => {
                 self.catalog = catalog;
+                self.committed.clear();
                 Event::SnapshotInstalled.emit(&[("index", &snapshot.index)]);
             }
             Err(error) => {
@@ -318,9 +348,17 @@
         listed.or_else(initial)
     }
 
-    /// Returns whether this member is the leader and its lease is valid, so that no other member can lead.
+    /// Returns whether this member is the leader, its lease is valid, so that no other member can lead, and its catalog
+    /// contains all that is committed.
     pub(crate) fn is_current_leader(&self) -> bool {
-        matches!(&self.stage, Stage::Member(replica) if replica.is_current(monotonic_ms()))
+        let is_current =
+            matches!(&self.stage, Stage::Member(replica) if replica.is_current(monotonic_ms()));
+        is_current && self.has_applied_all()
+    }
+
+    /// Returns whether all committed entries are applied to the catalog.
+    pub(crate) fn has_applied_all(&self) -> bool {
+        self.committed.is_empty()
     }
 
     /// Tells the relay in the same process which member is the leader.
@@ -347,7 +385,7 @@
             return Some(Response::problem(ResultCode::NoLeader, detail));
         };
         match (replica.role(), self.leader_addresses()) {
-            (RoleName::Leader, _) if replica.is_current(monotonic_ms()) => None,
+            (RoleName::Leader, _) if self.is_current_leader() => None,
             (RoleName::Leader, _) | (_, None) => {
                 let detail = "no leader is known at present; try again shortly";
                 Some(Response::problem(ResultCode::NoLeader, detail))
@@ -372,8 +410,7 @@
 
     /// Replies to pending freshness requests if the leader's lease is valid.
     pub(crate) fn reply_freshness(&mut self) {
-        let Stage::Member(replica) = &self.stage else { return };
-        if self.relays.has_pending_freshness() && replica.is_current(monotonic_ms()) {
+        if self.relays.has_pending_freshness() && self.is_current_leader() {
             self.relays.reply_freshness(self.catalog.head());
         }
     }
@@ -394,6 +431,7 @@
         Event::StorageFailed.emit(&[("reason", error)]);
         self.stage = Stage::Failed;
         self.writer = None;
+        self.committed.clear();
         self.relays.disconnect_all();
         self.moves.clear();
         self.hint_local_relay();
@@ -422,7 +460,7 @@
         let Stage::Member(replica) = &self.stage else { return };
         let start = replica.log().snapshot().index.max(self.last_snapshot_index);
         let index = replica.commit_index();
-        if index < start + SNAPSHOT_INTERVAL_ENTRIES {
+        if index < start + SNAPSHOT_INTERVAL_ENTRIES || !self.has_applied_all() {
             return;
         }
         self.last_snapshot_index = index;
@@ -436,6 +474,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
+        self.own_address = Some(ctx.address());
         ctx.run_interval(HOUSEKEEPING_INTERVAL, |actor, _| {
             actor.relays.expire_targets(monotonic_ms());
             actor.publish_directory();
@@ -475,6 +514,19 @@
     }
 }
 
+/// Applies further committed entries.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+struct ApplyCommitted;
+
+impl Handler<ApplyCommitted> for SourceActor {
+    type Result = ();
+
+    fn handle(&mut self, _: ApplyCommitted, _: &mut Self::Context) {
+        self.apply_committed();
+    }
+}
+
 /// Replaces the seeds after a settings reload.
 #[derive(Debug, actix::Message)]
 #[rtype(result = "()")]
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -6,7 +6,7 @@
 use actix::{Handler, Message, ResponseFuture};
 use kingcuplift_config::{Kind, MoveSpec, MoveState, Resource, ResourceKey, Submission};
 use kingcuplift_core::{Event, OperationId, ResultCode, ServiceName, TargetVersion};
-use kingcuplift_quorum::{Event as Input, RoleName, Token};
+use kingcuplift_quorum::{Event as Input, Token};
 use kingcuplift_schema::Message as _;
 use kingcuplift_schema::control::{Evidence, Target, TargetState};
 use kingcuplift_traffic::{MoveEvidence, MoveStage, MoveStep, Side, next_step};
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 
 use crate::clock::{monotonic_ms, wall_ms};
-use crate::source::actor::{SourceActor, Stage};
+use crate::source::actor::SourceActor;
 use crate::source::response::Response;
 
 /// Interval of the checks of active moves.
@@ -119,8 +119,7 @@
 
     /// As leader, advances all active moves.
     pub(crate) fn advance_moves(&mut self) {
-        let Stage::Member(replica) = &self.stage else { return };
-        if replica.role() != RoleName::Leader || !replica.is_current(monotonic_ms()) {
+        if !self.is_current_leader() {
             return;
         }
         let specs = self.active_specs();
@@ -194,8 +193,7 @@
 
     /// As leader, records the target version of each service that has only one as a completed move.
     pub(crate) fn pin_single_versions(&mut self) {
-        let Stage::Member(replica) = &self.stage else { return };
-        if !self.options.pins_versions || replica.role() != RoleName::Leader {
+        if !self.options.pins_versions || !self.is_current_leader() {
             return;
         }
         let document = self.catalog.current().document();
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -15,6 +15,8 @@
 
 /// Time after which a relay retries while no leader is known, in milliseconds.
 const REDIRECT_RETRY_MS: u64 = 200;
+/// Time after which a relay retries while the leader applies its log, in milliseconds.
+const CATCH_UP_RETRY_MS: u64 = 50;
 /// Time after a relay disconnects until its targets expire, in milliseconds.
 const RELAY_GRACE_PERIOD_MS: u64 = 30_000;
 
@@ -101,6 +103,10 @@
 
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
         let is_leader = matches!(&self.stage, Stage::Member(r) if r.role() == RoleName::Leader);
+        // A relay would get each version that is applied after a restart, one after the other.
+        if is_leader && !self.has_applied_all() {
+            return Err(Redirect { address: String::new(), retry_ms: CATCH_UP_RETRY_MS });
+        }
         if !is_leader {
             let address = self.leader_addresses().map(|(_, listen)| listen).unwrap_or_default();
             return Err(Redirect { address, retry_ms: REDIRECT_RETRY_MS });
