--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -119,6 +119,8 @@
     pub probes: usize,
     /// Longest time after its confirmation at which an undisturbed node lacked a version.
     pub longest_lag: Duration,
+    /// Time after the last fault until all nodes served and all members showed the newest version.
+    pub recovery_time: Duration,
     /// Largest share of a processor that a member, and a node, has used since its last start.
     pub processor_shares: (f64, f64),
     /// Injected faults in their order, each with its time in seconds.
@@ -133,14 +135,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} calls, {} answered, {} versions, {} probes, lag {:.0?}, processor {:.3} {:.3}, \
-             {} faults, {} violations",
+            "seed {}: {} calls, {} answered, {} versions, {} probes, lag {:.0?}, recovery {:.1?}, \
+             processor {:.3} {:.3}, {} faults, {} violations",
             self.seed,
             self.calls,
             self.answered,
             self.versions,
             self.probes,
             self.longest_lag,
+            self.recovery_time,
             self.processor_shares.0,
             self.processor_shares.1,
             self.injected_faults.len(),
@@ -243,7 +246,7 @@
     if options.ends_with_kill {
         soak.kill_all_after_confirmation();
     }
-    check_recovery(&soak.site, &members, &callers, &observations);
+    let recovery_time = check_recovery(&soak.site, &members, &callers, &observations);
     is_stopped.store(true, Ordering::Release);
     for thread in threads {
         if thread.join().is_err() {
@@ -262,6 +265,7 @@
         versions: lock(&observations.confirmed).len(),
         probes,
         longest_lag,
+        recovery_time,
         processor_shares,
         injected_faults: soak.injected_faults,
         logs: if violations.is_empty() { String::new() } else { soak.site.logs() },
@@ -313,15 +317,15 @@
     threads
 }
 
-/// Waits until every node serves calls and every member returns the newest confirmed version.
+/// Waits until every node serves calls and every member returns the newest confirmed version; returns the time.
 fn check_recovery(
     site: &PlaintextSite,
     members: &Members,
     callers: &[String],
     observations: &Observations,
-) {
+) -> Duration {
     let members = lock(members).clone();
-    let until = Instant::now() + RECOVERY_LIMIT;
+    let started_at = Instant::now();
     let headers = "host: a.example\r\nx-call: last\r\nx-left: 1000\r\n";
     let serves =
         |address: &String| request(address, "GET", "/read/last", headers, "").status == 200;
@@ -332,11 +336,15 @@
         response.status == 200 && response.json()["version"].as_u64().unwrap_or(0) >= expected
     };
     let mut missing = String::from("no check has been made");
-    while Instant::now() < until {
+    while started_at.elapsed() < RECOVERY_LIMIT {
         let failing = callers.iter().find(|address| !serves(address));
         let behind = members.iter().find(|address| !is_current(address));
         missing = match (failing, behind) {
-            (None, None) => return check_newest_version(site, observations),
+            (None, None) => {
+                let recovery_time = started_at.elapsed();
+                check_newest_version(site, observations);
+                return recovery_time;
+            }
             (Some(address), _) => format!("node {address} does not serve"),
             (None, Some(address)) => {
                 format!("member {address} does not return version {}", newest())
@@ -345,6 +353,7 @@
         std::thread::sleep(Duration::from_millis(100));
     }
     observations.record_violation(format!("{RECOVERY_LIMIT:?} after the last fault: {missing}"));
+    started_at.elapsed()
 }
 
 /// Checks that the newest configuration is the document that was submitted under its number.
