--- a/crates/testing/src/soak/faults.rs
+++ b/crates/testing/src/soak/faults.rs
@@ -39,6 +39,7 @@
     Kill,
     KillAllMembers,
     KillZone,
+    /// Kills four of ten nodes together.
     KillNodes,
     /// Kills the member that confirms the next version, right then.
     KillConfirmer,
