Soak: one way to write settings, the growth of versions in percent

Found in the last reading. set_grace and set_seeds wrote the settings file by themselves beside write_settings; GROWTH = 5 was halved where it is used, 250 percent says the same. No behaviour changes.

--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -187,8 +187,7 @@
         let mut settings = self.read_settings(node);
         settings["node"]["stop_ms"] = Value::Null;
         settings["node"]["grace_s"] = json!(grace_s);
-        std::fs::write(&self.settings[node], settings.to_string())
-            .expect("the file can be written");
+        self.write_settings(node, &settings);
         self.start_process(node);
     }
 
@@ -218,15 +217,14 @@
     }
 
     /// Replaces the seeds in the settings of a process by these members.
-    pub fn set_seeds(&self, name: &str, members: &[String]) {
+    pub fn set_seeds(&mut self, name: &str, members: &[String]) {
         let mut settings = self.read_settings(name);
         let numbers = members.iter().filter_map(|member| member_number(member));
         let seeds: Vec<String> = numbers
             .map(|number| format!("{}:{HTTP_PORT}", self.advertised_hosts[number - 1]))
             .collect();
         settings["links"]["seeds"] = json!(seeds);
-        std::fs::write(&self.settings[name], settings.to_string())
-            .expect("the file can be written");
+        self.write_settings(name, &settings);
     }
 
     fn read_settings(&self, name: &str) -> Value {
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -38,8 +38,8 @@
 const REPEAT_FRACTION: f64 = 0.2;
 /// Interval of the invalid configurations.
 const INVALID_INTERVAL: Duration = Duration::from_millis(700);
-/// Factor by which some versions have more routes without calls.
-const GROWTH: usize = 5;
+/// Routes without calls that some versions have, in percent of the usual number.
+const GROWN_PERCENT: usize = 250;
 /// Difference of version numbers after which the number of these routes changes.
 const GROWTH_PERIOD: u64 = 90;
 
@@ -111,8 +111,8 @@
     for version in chain.iter().skip(oldest).chain([&number]) {
         document["routes"][format!("own-{version}")] = route(own_prefix(*version));
     }
-    let growth = if (number / GROWTH_PERIOD) % 2 == 1 { GROWTH } else { 2 };
-    for index in 0..idle_routes * growth / 2 {
+    let percent = if (number / GROWTH_PERIOD) % 2 == 1 { GROWN_PERCENT } else { 100 };
+    for index in 0..idle_routes * percent / 100 {
         let mut idle = route(format!("/idle-{index}/"));
         // Some versions change all of them.
         idle["timeout_ms"] = json!(2_000 + number / IDLE_CHANGE_PERIOD);
@@ -377,6 +377,7 @@
             2 => reads["semantics"] = json!("odd"),
             3 => reads["prefix"] = json!("/book/"),
             4 => document["version"] = json!(newest),
+            // The text is cut off below.
             _ => {}
         }
         let mut body = document.to_string();
