--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -38,6 +38,9 @@
     /// connect the processes directly, without faults of links
     #[argh(switch)]
     direct: bool,
+    /// let disks of members refuse writes at times
+    #[argh(switch)]
+    disk_faults: bool,
     /// kill all processes right after the last confirmation
     #[argh(switch)]
     kill_at_end: bool,
@@ -74,6 +77,7 @@
             submit_interval,
             callers: arguments.callers,
             is_proxied: !arguments.direct,
+            has_disk_faults: arguments.disk_faults,
             ends_with_kill: arguments.kill_at_end,
             idle_routes,
             member_share,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod desk;
 mod disk;
+mod operator;
 mod plaintext_site;
 mod process;
 mod scripted;
@@ -19,10 +20,14 @@
     start_desk_site, wall_ms,
 };
 pub use disk::{DiskFault, FakeDisk};
+pub use operator::{Operator, Order, OrderReport};
 pub use plaintext_site::{
     NodeAddresses, PlaintextSite, ProxiedAddress, RawResponse, request, send_request,
 };
 pub use process::binary;
 pub use scripted::{PIECE_BYTES, ReceivedRequest, ScriptedTarget, TargetBehavior};
 pub use site::{Response, Site, SiteBuilder};
-pub use soak::{Proxy, ProxyFault, SoakOptions, SoakReport, run_soak};
+pub use soak::{
+    LeaderFault, LeaderFaultOptions, OrderKind, Proxy, ProxyFault, SoakOptions, SoakReport,
+    run_leader_faults, run_soak,
+};
--- /dev/null
+++ b/crates/testing/src/operator.rs
@@ -0,0 +1,127 @@
+//! An operator that sends each order to one member after the other until it is confirmed.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::plaintext_site::{MAX_REDIRECTS, RawResponse, request_within};
+
+/// Time without a response after which the operator turns to another member.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after the first failed attempt; each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Time after which the operator gives up an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// An operator's request that changes the state of the source.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path.
+    pub path: String,
+    /// Header lines, each with CRLF at its end.
+    pub headers: String,
+    /// Body.
+    pub body: String,
+}
+
+/// One request of an order.
+#[derive(Debug, Clone)]
+struct Attempt {
+    /// Time since the order was first sent.
+    sent_after: Duration,
+    address: String,
+    /// Status of the response; 0 if none arrived in time.
+    status: u16,
+}
+
+/// How an order went.
+#[derive(Debug, Clone)]
+pub struct OrderReport {
+    /// Time until the order was confirmed, or until the operator gave up.
+    pub duration: Duration,
+    /// Response that ended the order.
+    pub response: RawResponse,
+    attempts: Vec<Attempt>,
+}
+
+impl OrderReport {
+    /// Returns whether the order was confirmed.
+    pub fn is_confirmed(&self) -> bool {
+        matches!(self.response.status, 200..300)
+    }
+}
+
+impl fmt::Display for OrderReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.2} s", self.duration.as_secs_f64())?;
+        for attempt in &self.attempts {
+            let sent_after = attempt.sent_after.as_secs_f64();
+            write!(f, ", {sent_after:.2} {} {}", attempt.address, attempt.status)?;
+        }
+        Ok(())
+    }
+}
+
+/// An operator that knows the addresses of all members.
+#[derive(Debug)]
+pub struct Operator {
+    addresses: Vec<String>,
+    rng: SmallRng,
+}
+
+impl Operator {
+    /// Creates an operator that picks members at random.
+    pub fn new(addresses: Vec<String>, seed: u64) -> Self {
+        Self { addresses, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Sends an order, with a growing pause after each attempt that gets no clear response, until it is confirmed or
+    /// refused.
+    pub fn send(&mut self, order: &Order) -> OrderReport {
+        let started_at = Instant::now();
+        let mut next = self.rng.random_range(0..self.addresses.len());
+        let mut pause = FIRST_PAUSE;
+        let mut attempts = Vec::new();
+        loop {
+            let address = self.addresses[next].clone();
+            let response = send_once(order, address, started_at, &mut attempts);
+            let is_clear = match response.status {
+                408 | 429 => false,
+                200..500 => true,
+                _ => false,
+            };
+            if is_clear || started_at.elapsed() > ORDER_TIMEOUT {
+                return OrderReport { duration: started_at.elapsed(), response, attempts };
+            }
+            std::thread::sleep(pause);
+            pause *= 2;
+            next = (next + 1) % self.addresses.len();
+        }
+    }
+}
+
+/// Sends an order to a member, and on to those that the responses redirect to.
+fn send_once(
+    order: &Order,
+    mut address: String,
+    started_at: Instant,
+    attempts: &mut Vec<Attempt>,
+) -> RawResponse {
+    let Order { method, path, headers, body } = order;
+    let mut redirects = 0;
+    loop {
+        let sent_after = started_at.elapsed();
+        let response = request_within(&address, method, path, headers, body, RESPONSE_TIMEOUT);
+        attempts.push(Attempt { sent_after, address, status: response.status });
+        match response.redirect_host() {
+            Some(host) if redirects < MAX_REDIRECTS => address = host.to_owned(),
+            Some(_) => return RawResponse::default(),
+            None => return response,
+        }
+        redirects += 1;
+    }
+}
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -17,6 +17,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time that a test waits for a part of a response.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of redirects that operators follow for one request.
+pub(crate) const MAX_REDIRECTS: usize = 2;
 /// Interval between polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Availability zones, assigned to processes in turn.
@@ -52,6 +54,12 @@
         parse(bytes)
     }
 
+    /// Returns the host that a redirect names.
+    pub(crate) fn redirect_host(&self) -> Option<&str> {
+        let url = self.header("location").filter(|_| self.status == 307)?;
+        url.strip_prefix("http://")?.split('/').next()
+    }
+
     /// Returns the value of a header whose name is given in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines();
@@ -265,10 +273,23 @@
 
     /// Makes a process fail to write files, as on a full disk, or lets it write again.
     pub fn refuse_writes(&self, name: &str, is_refused: bool) {
+        self.limit_file_size(name, is_refused.then_some(0));
+    }
+
+    /// Makes a member fail to write its files beyond their present size and `spare` bytes, as on a disk that is almost full.
+    pub fn limit_writes(&self, name: &str, spare: u64) {
+        let number = member_number(name).expect("the name of a member");
+        let data = self.folder.path().join(format!("data-{number}"));
+        let files = std::fs::read_dir(data).expect("the data folder exists");
+        let sizes = files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len()));
+        self.limit_file_size(name, Some(sizes.max().unwrap_or(0) + spare));
+    }
+
+    /// Limits the size of the files that a process writes; `None` lifts the limit.
+    fn limit_file_size(&self, name: &str, bytes: Option<u64>) {
         let pid = i32::try_from(self.running[name].id()).ok().and_then(Pid::from_raw);
         let limit = getrlimit(Resource::Fsize);
-        let current = if is_refused { Some(0) } else { limit.maximum };
-        let limit = Rlimit { current, ..limit };
+        let limit = Rlimit { current: bytes.or(limit.maximum), ..limit };
         prlimit(pid, Resource::Fsize, limit).expect("the limit of an own process can be set");
     }
 
@@ -471,7 +492,7 @@
     name.strip_prefix("core-")?.parse().ok()
 }
 
-/// Sends a request and follows one redirect.
+/// Sends a request and follows redirects.
 pub(crate) fn request_with_redirect(
     address: &str,
     method: &str,
@@ -482,7 +503,7 @@
     follow_redirect(address, method, path, headers, body, READ_TIMEOUT).1
 }
 
-/// Sends a request and follows one redirect; returns the response and the address that it came from.
+/// Sends a request and follows redirects; returns the response and the address that it came from.
 pub(crate) fn follow_redirect(
     address: &str,
     method: &str,
@@ -491,16 +512,14 @@
     body: &str,
     timeout: Duration,
 ) -> (String, RawResponse) {
-    let response = request_within(address, method, path, headers, body, timeout);
-    match response.header("location") {
-        Some(location) if response.status == 307 => {
-            let url = location.trim_start_matches("http://");
-            let host = url.split('/').next().unwrap_or(url).to_owned();
-            let response = request_within(&host, method, path, headers, body, timeout);
-            (host, response)
-        }
-        _ => (address.to_owned(), response),
-    }
+    let mut address = address.to_owned();
+    let mut response = request_within(&address, method, path, headers, body, timeout);
+    for _ in 0..MAX_REDIRECTS {
+        let Some(host) = response.redirect_host() else { break };
+        address = host.to_owned();
+        response = request_within(&address, method, path, headers, body, timeout);
+    }
+    (address, response)
 }
 
 /// Sends one request on a new connection and reads the response.
@@ -509,7 +528,7 @@
 }
 
 /// Sends one request on a new connection and reads the response, waiting for up to `timeout` for each part of it.
-fn request_within(
+pub(crate) fn request_within(
     address: &str,
     method: &str,
     path: &str,
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod faults;
+mod leader_faults;
 mod load;
 mod probes;
 mod proxy;
@@ -19,6 +20,7 @@
 
 use self::backend::{Backend, RunCounts};
 use self::faults::Action;
+pub use self::leader_faults::{LeaderFault, LeaderFaultOptions, OrderKind, run_leader_faults};
 use self::load::{Members, OPERATORS, Observations, Shared, lock};
 use self::probes::Disturbance;
 pub use self::proxy::{Proxy, ProxyFault};
@@ -51,6 +53,8 @@
     pub election_timeout: Option<Duration>,
     /// Whether all links pass through proxies that disturb them.
     pub is_proxied: bool,
+    /// Whether disks of members refuse writes at times.
+    pub has_disk_faults: bool,
     /// Whether all processes are killed right after the last confirmation.
     pub ends_with_kill: bool,
     /// Longest pause between two faults.
@@ -78,6 +82,7 @@
             callers: 4,
             election_timeout: None,
             is_proxied: true,
+            has_disk_faults: false,
             ends_with_kill: false,
             fault_interval: Duration::from_millis(600),
             longest_fault: Duration::from_millis(2_500),
--- a/crates/testing/src/soak/faults.rs
+++ b/crates/testing/src/soak/faults.rs
@@ -30,6 +30,8 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after its start from which on the processor time of a process is reported; a start takes much of it.
 const MIN_MEASURED_TIME: Duration = Duration::from_secs(5);
+/// Upper bound of the room that [`Fault::FillDisk`] leaves in each file, in bytes.
+const LARGEST_ROOM: u64 = 4_000;
 /// Time without power after the last fault.
 const DOWN_TIME: Duration = Duration::from_millis(1_200);
 
@@ -59,6 +61,10 @@
     BlockAll,
     ResetConnections,
     StallConnections,
+    /// The disk of a member refuses all writes.
+    RefuseWrites,
+    /// The disk of a member has room for a few bytes in each file.
+    FillDisk,
 }
 
 impl Fault {
@@ -85,6 +91,8 @@
         Self::StallConnections,
     ];
 
+    const ON_DISKS: [Self; 2] = [Self::RefuseWrites, Self::FillDisk];
+
     /// Returns whether the fault disturbs links, for which they must pass through proxies.
     pub(super) fn is_on_links(self) -> bool {
         Self::ON_LINKS.contains(&self)
@@ -99,6 +107,7 @@
     Resume(String),
     ClearProxyFault(String),
     Terminate(String),
+    AllowWrites(String),
 }
 
 impl Action {
@@ -107,7 +116,8 @@
             Self::Start(name)
             | Self::Resume(name)
             | Self::ClearProxyFault(name)
-            | Self::Terminate(name) => name,
+            | Self::Terminate(name)
+            | Self::AllowWrites(name) => name,
         }
     }
 }
@@ -124,13 +134,15 @@
 
     pub(super) fn draw_fault(&mut self) -> Fault {
         let on_links = if self.options.is_proxied { &Fault::ON_LINKS[..] } else { &[] };
-        let faults = [&Fault::ON_PROCESSES[..], on_links].concat();
+        let on_disks = if self.options.has_disk_faults { &Fault::ON_DISKS[..] } else { &[] };
+        let faults = [&Fault::ON_PROCESSES[..], on_links, on_disks].concat();
         faults[self.rng.random_range(0..faults.len())]
     }
 
     /// Returns the process that the next fault strikes, if it is not struck already.
     fn draw_process(&mut self, fault: Fault) -> Option<String> {
-        let wants_member = matches!(fault, Fault::Wipe | Fault::Replace);
+        let wants_member =
+            matches!(fault, Fault::Wipe | Fault::Replace) || Fault::ON_DISKS.contains(&fault);
         let draw = self.rng.random::<f64>();
         let names = self.site.names();
         let is_member = |name: &&String| name.starts_with("core-");
@@ -296,11 +308,25 @@
                 self.kill(&name, fault, down_time);
             }
             Fault::Terminate => self.terminate(&name),
+            Fault::RefuseWrites | Fault::FillDisk => self.limit_disk(&name, fault),
             _ => self.disturb(&name, fault),
         }
         self.record_fault(format!("{fault:?} {name}"));
     }
 
+    /// Makes the disk of a member refuse writes for a while. No version may be late for that.
+    fn limit_disk(&mut self, name: &str, fault: Fault) {
+        match fault {
+            Fault::FillDisk => {
+                let spare = self.rng.random_range(0..LARGEST_ROOM);
+                self.site.limit_writes(name, spare);
+            }
+            _ => self.site.refuse_writes(name, true),
+        }
+        let duration = self.draw_duration();
+        self.schedule(duration, Action::AllowWrites(name.to_owned()));
+    }
+
     /// Injects a fault that leaves the process running, or changes it for good.
     fn disturb(&mut self, name: &str, fault: Fault) {
         self.begin_disturbance(name, fault);
@@ -370,6 +396,7 @@
                     self.proxies[&name].iter().for_each(|p| p.set_fault(ProxyFault::None));
                     self.end_disturbances(&name);
                 }
+                Action::AllowWrites(name) => self.site.refuse_writes(&name, false),
                 Action::Terminate(name) if !all && self.is_free(&name) => self.terminate(&name),
                 Action::Terminate(_) => {}
             }
