Source: a leader claims no entry that its own disk has not stored (found by reading)

A leader whose disk hangs or fails while the others commit an entry never takes part again; after the next such member the source is gone.

Cause: the watermarks that a leader sends named its own disk with the commit index, though the others may commit without it. If the disk then fails, or the process is killed before its sync, the restarted member lacks what it is known to have stored, and refuses itself as a damaged disk, for good.

Change: the own watermark is the lower of the synced and the committed index.

Measured: quorum `unstored_entries` fails before (after one such fault and the loss of another member, two of three members elect nobody) and passes now. `consensus_model` and `fault_matrix` pass; they did not find it, as they end every fault before they check.

--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -64,8 +64,12 @@
         let now = self.now;
         let base = self.log.base_index();
         let Role::Leader(leader) = &mut self.role else { return };
-        let watermarks =
-            watermarks(leader, self.log.membership(), self.identity, self.commit_index);
+        let watermarks = watermarks(
+            leader,
+            self.log.membership(),
+            (self.identity, self.synced_index),
+            self.commit_index,
+        );
         let Some(progress) = leader.progress.get_mut(&to) else { return };
         if progress.next_index <= base && progress.snapshot_sent_ms.is_none() {
             return self.send_snapshot(to);
@@ -225,8 +229,8 @@
     /// Records which committed entries each member has stored.
     fn update_watermarks(&mut self) {
         let Role::Leader(leader) = &self.role else { return };
-        let watermarks =
-            watermarks(leader, self.log.membership(), self.identity, self.commit_index);
+        let own = (self.identity, self.synced_index);
+        let watermarks = watermarks(leader, self.log.membership(), own, self.commit_index);
         self.merge_watermarks(&watermarks);
     }
 
@@ -309,15 +313,17 @@
 
 /// Returns the highest committed index that each member is known to have stored.
 ///
-/// Uncommitted entries don't count, since a later leader may overwrite them.
+/// Uncommitted entries don't count, since a later leader may overwrite them. `own` is the leader with the last index that it
+/// has synced; the others may have committed entries that its own disk has not stored yet, or will never store.
 fn watermarks(
     leader: &LeaderState,
     membership: &Membership,
-    own: Identity,
+    own: (Identity, u64),
     commit: u64,
 ) -> Vec<Watermark> {
+    let (identity, synced) = own;
     let stored = |voter: &Voter| match MemberId::new(voter.id) {
-        id if id == own.id => commit,
+        id if id == identity.id => synced.min(commit),
         id => leader.progress.get(&id).map_or(0, |progress| progress.match_index.min(commit)),
     };
     let members = membership.voters.iter().chain(&membership.learners);
