Storage: a folder counts as recovered once the write that failed would fit

What operators saw: a leader whose disk has a few bytes left fails, is back 250 ms later, and fails again at the next order.

Cause: the recovery writes the end of the log to a new file, which fits where the next entry doesn't.

Change: that file must also have had room for the write that failed.

Measured: `recovery_needs_room` fails before at the first size, and passes now for every size of the room.

--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -125,6 +125,8 @@
     last_checksum: u32,
     hard_state: HardState,
     snapshot_index: u64,
+    /// Size of the write that failed last, in bytes.
+    failed_size: usize,
 }
 
 impl<F: Folder> Store<F> {
@@ -152,6 +154,7 @@
             last_checksum: 0,
             hard_state: HardState::default(),
             snapshot_index: 0,
+            failed_size: 0,
         };
         let identity = store.open_identity(owner, new_disk)?;
         let recovery = store.read_all(identity)?;
@@ -171,7 +174,8 @@
     /// Reads the state again after a failed write, and makes all of it durable.
     ///
     /// After a failed sync, the operating system may return data that never reached the disk and report the next sync
-    /// of the same file as successful. The end of the log is therefore written to a new file.
+    /// of the same file as successful. The end of the log is therefore written to a new file. That file must have room for
+    /// the write that failed, too: on a disk with little space left, the next write would fail again.
     ///
     /// # Errors
     ///
@@ -189,8 +193,9 @@
         if !self.segments.is_empty() {
             let name = self.current_segment_name();
             let bytes = self.read(&name)?;
-            self.write_file(&name, &bytes)?;
+            self.write_file_with_room(&name, &bytes, self.failed_size)?;
         }
+        self.failed_size = 0;
         Ok(recovery)
     }
 
@@ -239,8 +244,10 @@
         let last = batch.entries.last().map(|entry| entry.index);
         let (bytes, checksum) = frame::encode(self.last_checksum, &batch.encode_to_vec());
         let name = self.current_segment_name();
+        self.failed_size = bytes.len();
         self.folder.append(&name, &bytes).map_err(|e| io_error(&name, e))?;
         self.folder.sync(&name).map_err(|e| io_error(&name, e))?;
+        self.failed_size = 0;
         self.segment_size += bytes.len() as u64;
         self.last_checksum = checksum;
         if let (Some(segment), Some(last)) = (self.segments.last_mut(), last) {
@@ -252,7 +259,9 @@
     /// Writes a snapshot and deletes the snapshots and segments that it supersedes.
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
         let (bytes, _) = frame::encode(0, &snapshot.encode_to_vec());
+        self.failed_size = bytes.len();
         self.write_file(&snapshot_name(snapshot.index), &bytes)?;
+        self.failed_size = 0;
         self.snapshot_index = snapshot.index;
         for name in self.list()? {
             let is_old = parse_name(&name, SNAPSHOT_PREFIX).is_some_and(|n| n < snapshot.index);
@@ -275,6 +284,16 @@
 
     /// Writes a file atomically: after a crash it exists completely or not at all.
     fn write_file(&mut self, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
+        self.write_file_with_room(name, bytes, 0)
+    }
+
+    /// Writes a file atomically, on a disk that has room for a file with `room` more bytes.
+    fn write_file_with_room(
+        &mut self,
+        name: &str,
+        bytes: &[u8],
+        room: usize,
+    ) -> Result<(), StoreError> {
         let folder = &mut self.folder;
         let exists =
             folder.list().map_err(|e| io_error(".", e))?.iter().any(|n| n == TEMPORARY_FILE);
@@ -282,6 +301,14 @@
             folder.remove(TEMPORARY_FILE).map_err(|e| io_error(TEMPORARY_FILE, e))?;
         }
         folder.append(TEMPORARY_FILE, bytes).map_err(|e| io_error(TEMPORARY_FILE, e))?;
+        if room > 0 {
+            folder
+                .append(TEMPORARY_FILE, &vec![0; room])
+                .map_err(|e| io_error(TEMPORARY_FILE, e))?;
+            folder.sync(TEMPORARY_FILE).map_err(|e| io_error(TEMPORARY_FILE, e))?;
+            let length = bytes.len() as u64;
+            folder.truncate(TEMPORARY_FILE, length).map_err(|e| io_error(TEMPORARY_FILE, e))?;
+        }
         folder.sync(TEMPORARY_FILE).map_err(|e| io_error(TEMPORARY_FILE, e))?;
         folder.rename(TEMPORARY_FILE, name).map_err(|e| io_error(name, e))?;
         folder.sync_names().map_err(|e| io_error(".", e))
--- a/crates/quorum/tests/storage_damage.rs
+++ b/crates/quorum/tests/storage_damage.rs
@@ -193,6 +193,30 @@
     assert_eq!(recovery.restored.entries, expected, "what was read back is durable");
 }
 
+/// A disk with room for little more than the log was taken as recovered, and failed again at the next write.
+#[test]
+fn recovery_needs_room() {
+    let (mut store, _) = Store::open(disk_with_entries(3), MEMBER, 10).expect("reading works");
+    let log = store.folder().file_names().into_iter().find(|name| name.starts_with("log-"));
+    let size = store.folder().size(&log.expect("a log"));
+    let needed = {
+        let mut copy = disk_with_entries(3);
+        let (mut other, _) = Store::open(copy.clone(), MEMBER, 10).expect("reading works");
+        other.save(&[record(4, 2)]).expect("the disk works");
+        copy = other.into_folder();
+        let name = copy.file_names().into_iter().find(|name| name.starts_with("log-"));
+        copy.size(&name.expect("a log")) - size
+    };
+    for room in 0..needed {
+        store.folder_mut().fault = Some(DiskFault::Limit(size + room));
+        store.save(&[record(4, 2)]).expect_err("the write does not fit");
+        store.recover().expect_err("it would not fit after the recovery either");
+    }
+    store.folder_mut().fault = Some(DiskFault::Limit(size + needed));
+    store.recover().expect("the write fits now");
+    store.save(&[record(4, 2)]).expect("the write fits now");
+}
+
 #[test]
 fn lost_identity_is_refused() {
     let mut disk = disk_with_entries(3);
--- a/crates/testing/src/disk.rs
+++ b/crates/testing/src/disk.rs
@@ -23,6 +23,8 @@
     Sync,
     /// Every append writes half of its bytes, then fails.
     Full,
+    /// No file grows beyond this number of bytes.
+    Limit(usize),
 }
 
 /// An in-memory [`Folder`] that tracks which data and names are durable.
@@ -99,17 +101,20 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let is_full = self.fault == Some(DiskFault::Full);
+        let fault = self.fault;
         let file = self.file(name);
-        match is_full {
-            true => {
-                file.data.extend_from_slice(&bytes[..bytes.len() / 2]);
-                Err(io::ErrorKind::StorageFull.into())
-            }
-            false => {
-                file.data.extend_from_slice(bytes);
-                Ok(())
+        let room = match fault {
+            Some(DiskFault::Full) => bytes.len() / 2,
+            Some(DiskFault::Limit(limit)) => limit.saturating_sub(file.data.len()),
+            Some(DiskFault::Sync) | None => bytes.len(),
+        };
+        file.data.extend_from_slice(&bytes[..room.min(bytes.len())]);
+        match fault {
+            Some(DiskFault::Full) => Err(io::ErrorKind::StorageFull.into()),
+            Some(DiskFault::Limit(_)) if room < bytes.len() => {
+                Err(io::ErrorKind::FileTooLarge.into())
             }
+            _ => Ok(()),
         }
     }
 
