--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -18,6 +18,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Timeout of one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
+/// Maximum number of redirects of one request.
+const MAX_REDIRECTS: usize = 2;
 /// Largest accepted response body, in bytes.
 const MAX_RESPONSE_SIZE: usize = 256 << 20;
 /// Header that makes a submission idempotent.
@@ -104,13 +106,17 @@
         }
     }
 
-    /// Sends a request to one member and follows one redirect to the leader.
+    /// Sends a request to one member and follows redirects to the leader; one that was just lost names the next.
     async fn request_member(&self, client: &Client, address: &str, request: &Request) -> Reply {
         let url = format!("http://{address}{}", request.path);
-        match send_once(client, &url, request).await {
-            Reply::Redirect(leader) => send_once(client, &leader, request).await,
-            reply => reply,
+        let mut reply = send_once(client, &url, request).await;
+        for _ in 0..MAX_REDIRECTS {
+            reply = match reply {
+                Reply::Redirect(leader) => send_once(client, &leader, request).await,
+                reply => return reply,
+            };
         }
+        reply
     }
 }
 
--- a/crates/cli/tests/refused_writes.rs
+++ b/crates/cli/tests/refused_writes.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
-use kingcuplift_testing::PlaintextSite;
+use kingcuplift_testing::{
+    LeaderFault, LeaderFaultOptions, Operator, Order, OrderKind, PlaintextSite, run_leader_faults,
+};
+use rstest::rstest;
 use serde_json::{Value, json};
 
 /// Time for which a disk refuses writes.
 const REFUSAL_TIME: Duration = Duration::from_secs(3);
+/// Time within which each order must be confirmed while most members run.
+const ORDER_LIMIT: Duration = Duration::from_secs(4);
+/// Seed of the operators' choices.
+const SEED: u64 = 37;
 
 /// Submits a version, sending the same operation again until it is accepted, and returns its number.
 fn submit(site: &PlaintextSite, base: u64) -> Value {
@@ -37,3 +44,35 @@
     let stored = site.operator_request("GET", "/v1/config", "", "").json();
     assert_eq!(stored["services"]["desk"]["slots"], 7);
 }
+
+/// A member whose disk refuses writes turned operators away although the others had a leader.
+#[test]
+fn failed_leader_redirects() {
+    let site = PlaintextSite::start(3, &[]);
+    assert_eq!(submit(&site, 0), 1);
+    let leader = site.wait("a leader", PlaintextSite::leader);
+    site.refuse_writes(&format!("core-{leader}"), true);
+    let mut operator = Operator::new(vec![site.operator_address(leader)], SEED);
+    for base in 1..4 {
+        let patch = json!({ "services": { "desk": { "slots": base + 1 } } });
+        let report = operator.send(&Order {
+            method: "POST",
+            path: "/v1/versions".to_owned(),
+            headers: format!("idempotency-key: redirected-{base}\r\n"),
+            body: json!({ "base": base, "patch": patch }).to_string(),
+        });
+        assert!(report.is_confirmed() && report.duration < ORDER_LIMIT, "{report}");
+    }
+}
+
+/// Each fault cost an election timeout and a growing pause of the operator, in sum more than 4 s.
+#[rstest]
+#[case::revisions(LeaderFault::RefuseWrites, OrderKind::Revision)]
+#[case::zones(LeaderFault::RefuseWrites, OrderKind::Zone)]
+#[case::moves(LeaderFault::RefuseWrites, OrderKind::Move)]
+#[case::little_room(LeaderFault::FillDisk(30), OrderKind::Revision)]
+fn orders_are_confirmed(#[case] fault: LeaderFault, #[case] order: OrderKind) {
+    for report in run_leader_faults(LeaderFaultOptions::new(SEED, fault, order)) {
+        assert!(report.is_confirmed() && report.duration < ORDER_LIMIT, "{report}");
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -113,6 +113,8 @@
     StorageRecovered = 114, Info;
     /// A move advanced by a step, was completed or was rolled back.
     MoveStepped = 116, Info;
+    /// A leader whose storage has failed asked another member to take over.
+    LeaderResigned = 117, Warn;
     /// A connection to a peer was established.
     LinkOpened = 201, Info;
     /// A connection to a peer ended.
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -7,6 +7,7 @@
 mod members;
 mod messages;
 mod moves;
+mod observer;
 mod operators;
 mod query;
 mod relays;
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -26,6 +26,7 @@
 use crate::source::links::{PeerMessage, dial_member};
 use crate::source::members;
 use crate::source::moves::{MOVE_CHECK_INTERVAL, MoveController};
+use crate::source::observer::Observer;
 use crate::source::relays::Relays;
 use crate::source::response::Response;
 use crate::source::writer::{self, Job, StorageReport};
@@ -41,6 +42,10 @@
 const HEARTBEATS_PER_ELECTION_TIMEOUT: u64 = 5;
 /// Time for which committed entries are applied before other messages, such as heartbeats, are handled.
 const APPLY_SLICE: Duration = Duration::from_millis(4);
+/// A leader counts as likely lost after this number of heartbeat intervals without contact.
+const SILENT_HEARTBEATS: u64 = 3;
+/// Number of election timeouts without a leader after which none is expected any more.
+const LEADERLESS_ELECTIONS: u64 = 3;
 /// Number of applied entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 10_000;
 
@@ -52,7 +57,7 @@
     /// The member belongs to a group.
     Member(Box<Replica>),
     /// A write has failed; the member takes no part in the group until its data folder is recovered.
-    Failed,
+    Failed(Observer),
 }
 
 impl Stage {
@@ -101,6 +106,8 @@
     pub(crate) relays: Relays,
     pub(crate) last_offer_ms: Millis,
     last_snapshot_index: u64,
+    /// Time since which no leader is known.
+    leaderless_since: Option<Millis>,
 }
 
 impl SourceActor {
@@ -153,6 +160,7 @@
             relays: Relays::default(),
             last_offer_ms: 0,
             last_snapshot_index: 0,
+            leaderless_since: None,
         })
     }
 
@@ -193,8 +201,10 @@
         match effect {
             Effect::Save { seq, hard_state, entries, snapshot } => {
                 let job = Job { seq, record: Record { hard_state, entries }, snapshot };
-                if self.writer.as_ref().is_none_or(|writer| writer.send(job).is_err()) {
-                    self.stage = Stage::Failed;
+                match &self.writer {
+                    // A storage thread that takes no more jobs has failed, and its report is on the way.
+                    Some(writer) => drop(writer.send(job)),
+                    None => self.stage = Stage::Failed(Observer::of(&self.stage)),
                 }
             }
             Effect::Send { to, message } => self.send(to, message),
@@ -272,7 +282,7 @@
             }
             Err(error) => {
                 Event::StorageFailed.emit(&[("reason", &error)]);
-                self.stage = Stage::Failed;
+                self.stage = Stage::Failed(Observer::of(&self.stage));
             }
         }
     }
@@ -280,21 +290,21 @@
     fn refuse(&mut self, token: Token, refusal: Refusal) {
         self.moves.end_step(token);
         let Some(sender) = self.pending_responses.remove(&token) else { return };
-        let (code, detail) = match refusal {
-            Refusal::NotLeader => {
-                (ResultCode::NoLeader, "this member is not the leader; try another")
-            }
-            Refusal::Busy => (ResultCode::SourceBusy, "too many submissions in flight; try again"),
-            Refusal::LeadershipLost => (
-                ResultCode::LeadershipLost,
+        let response = match refusal {
+            Refusal::NotLeader => Response::Unready("this member is not the leader; try another"),
+            Refusal::Busy => Response::problem(
+                ResultCode::SourceBusy,
+                "too many submissions in flight; try again",
+            ),
+            Refusal::LeadershipLost => Response::Interrupted(
                 "the leader changed; send the same operation id again to learn the outcome",
             ),
-            Refusal::MembershipRefused => (
+            Refusal::MembershipRefused => Response::problem(
                 ResultCode::MembershipRefused,
                 "another membership change is in flight; try again later",
             ),
         };
-        drop(sender.send(Response::problem(code, detail)));
+        drop(sender.send(response));
     }
 
     fn handle_notice(&mut self, notice: Notice) {
@@ -308,6 +318,11 @@
                 self.relays.disconnect_all();
                 self.moves.clear();
             }
+            Notice::Resigned { term, successor } => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("member", &member), ("term", &term), ("successor", &successor)];
+                Event::LeaderResigned.emit(&fields);
+            }
             Notice::Following { term, leader } => {
                 Event::LeaderFollowed.emit(&[("leader", &leader), ("term", &term)]);
                 self.relays.disconnect_all();
@@ -339,7 +354,8 @@
     fn member_address(&self, id: MemberId) -> Option<String> {
         let listed = match &self.stage {
             Stage::Member(replica) => replica.membership().member(id).map(|v| v.listen.clone()),
-            Stage::Forming(_) | Stage::Failed => None,
+            Stage::Failed(observer) => observer.member(id).map(|v| v.listen.clone()),
+            Stage::Forming(_) => None,
         };
         let initial = || {
             let member = self.options.members.iter().find(|member| member.id == id)?;
@@ -370,32 +386,54 @@
 
     /// Returns the leader's addresses for operators (HTTP) and for relays.
     pub(crate) fn leader_addresses(&self) -> Option<(String, String)> {
-        let Stage::Member(replica) = &self.stage else {
-            return None;
+        let leader = match &self.stage {
+            Stage::Member(replica) => replica.membership().member(replica.leader()?),
+            Stage::Failed(observer) => observer.leader(),
+            Stage::Forming(_) => None,
         };
-        let leader = replica.leader()?;
-        let voter = replica.membership().member(leader)?;
-        Some((voter.http.clone(), voter.listen.clone()))
+        leader.map(|voter| (voter.http.clone(), voter.listen.clone()))
     }
 
     /// Returns an error or a redirect unless this member is the leader with a valid lease.
     pub(crate) fn reject_unless_leader(&self) -> Option<Response> {
-        let Stage::Member(replica) = &self.stage else {
-            let detail = "the member has not joined a group yet or its storage has failed";
-            return Some(Response::problem(ResultCode::NoLeader, detail));
-        };
-        match (replica.role(), self.leader_addresses()) {
-            (RoleName::Leader, _) if self.is_current_leader() => None,
-            (RoleName::Leader, _) | (_, None) => {
-                let detail = "no leader is known at present; try again shortly";
-                Some(Response::problem(ResultCode::NoLeader, detail))
+        let detail = "no leader is known at present; try again shortly";
+        let now = monotonic_ms();
+        let election = self.options.election_timeout.as_millis() as Millis;
+        let longest_silence = SILENT_HEARTBEATS * election / HEARTBEATS_PER_ELECTION_TIMEOUT;
+        let is_silent = match &self.stage {
+            _ if self.is_current_leader() => return None,
+            Stage::Forming(_) => {
+                let detail = "the member has not joined a group yet";
+                return Some(Response::problem(ResultCode::NoLeader, detail));
             }
-            (_, Some((http, _))) => Some(Response::Redirect(http)),
-        }
+            Stage::Member(replica) => {
+                replica.role() == RoleName::Leader
+                    || now > replica.last_leader_contact() + longest_silence
+            }
+            Stage::Failed(_) => false,
+        };
+        let leader = self.leader_addresses().filter(|_| !is_silent);
+        let is_election_due =
+            self.leaderless_since.is_none_or(|at| now < at + LEADERLESS_ELECTIONS * election);
+        Some(match leader {
+            Some((http, _)) => Response::Redirect(http),
+            None if is_election_due => Response::Unready(detail),
+            None => Response::problem(ResultCode::NoLeader, detail),
+        })
+    }
+
+    /// Notes since when no leader is known.
+    fn note_leader(&mut self, now: Millis) {
+        let is_known = self.is_current_leader() || self.leader_addresses().is_some();
+        self.leaderless_since = match is_known {
+            true => None,
+            false => self.leaderless_since.or(Some(now)),
+        };
     }
 
     fn tick(&mut self) {
         let now = monotonic_ms();
+        self.note_leader(now);
         match &self.stage {
             Stage::Forming(_) => self.tick_forming(now),
             Stage::Member(_) => {
@@ -404,7 +442,7 @@
                 self.reply_freshness();
                 self.take_snapshot();
             }
-            Stage::Failed => {}
+            Stage::Failed(_) => {}
         }
     }
 
@@ -426,10 +464,11 @@
         }
     }
 
-    /// Leaves the group until the data folder is recovered.
+    /// Leaves the group until the data folder is recovered; a leader lets another member take over.
     fn suspend(&mut self, error: &StoreError) {
         Event::StorageFailed.emit(&[("reason", error)]);
-        self.stage = Stage::Failed;
+        self.step(Input::StorageFailed);
+        self.stage = Stage::Failed(Observer::of(&self.stage));
         self.writer = None;
         self.committed.clear();
         self.relays.disconnect_all();
@@ -437,7 +476,7 @@
         self.hint_local_relay();
         for (_, sender) in self.pending_responses.drain() {
             let detail = "the member's storage has failed; try another member";
-            drop(sender.send(Response::problem(ResultCode::LeadershipLost, detail)));
+            drop(sender.send(Response::Interrupted(detail)));
         }
     }
 
@@ -509,6 +548,10 @@
             }
             (Stage::Member(_), Some(peer::Body::Offer(_))) => self.handle_offer(message),
             (Stage::Member(_), _) if self.writer.is_some() => self.step(Input::Receive(message)),
+            (Stage::Failed(observer), _) => {
+                observer.observe(&message);
+                self.hint_local_relay();
+            }
             _ => {}
         }
     }
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -2,9 +2,9 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use actix::Addr;
+use actix::{Addr, Handler, Message};
 use actix_web::dev::Server;
 use actix_web::http::header::IF_MATCH;
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -29,6 +29,10 @@
 
 /// Maximum time to wait for a submission to be committed.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time to wait for a new leader; operators turn to another member after a second.
+const ELECTION_WAIT: Duration = Duration::from_millis(800);
+/// Interval of the checks for a new leader.
+const ELECTION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Allowance for the fields around the patch in a request body.
 const MAX_PATCH_OVERHEAD: ByteSize = ByteSize::kib(64);
 /// Zstandard compression level of backups.
@@ -93,6 +97,37 @@
 
 type Source = web::Data<Addr<SourceActor>>;
 
+/// Sends a request to the actor, again and again while a leader is being elected.
+///
+/// An operator that is turned away tries again later and later, and may then miss the new leader by seconds. The request
+/// must be one that may be repeated; `pending` is the response if its outcome is not known in time.
+async fn ask_leader<M>(source: &Source, request: M, pending: Response) -> Response
+where
+    M: Message<Result = Response> + Clone + Send + 'static,
+    SourceActor: Handler<M>,
+{
+    let started_at = Instant::now();
+    let mut interruption = None;
+    loop {
+        let sent = source.send(request.clone());
+        let response = match tokio::time::timeout(COMMIT_TIMEOUT, sent).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_)) | Err(_) => return pending,
+        };
+        let may_wait = started_at.elapsed() < ELECTION_WAIT;
+        match response {
+            Response::Interrupted(detail) if may_wait => interruption = Some(detail),
+            Response::Unready(_) if may_wait => {}
+            // The request may have been carried out before.
+            Response::Unready(detail) => {
+                return interruption.map_or(Response::Unready(detail), Response::Interrupted);
+            }
+            response => return response,
+        }
+        tokio::time::sleep(ELECTION_POLL_INTERVAL).await;
+    }
+}
+
 async fn submit(request: HttpRequest, body: web::Bytes, source: Source) -> HttpResponse {
     let response = match serde_json::from_slice::<SubmitBody>(&body) {
         Ok(body) => submit_body(&request, body, &source).await,
@@ -126,15 +161,10 @@
 }
 
 async fn send_submission(source: &Source, submission: Submission) -> Response {
-    let sent = source.send(Submit(submission));
-    match tokio::time::timeout(COMMIT_TIMEOUT, sent).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(_)) | Err(_) => {
-            let detail =
-                "no majority has stored the submission yet; send the same operation id again";
-            Response::problem(ResultCode::LeadershipLost, detail)
-        }
-    }
+    let pending = Response::Interrupted(
+        "no majority has stored the submission yet; send the same operation id again",
+    );
+    ask_leader(source, Submit(submission), pending).await
 }
 
 /// Returns the operation id of the request, or a new one.
@@ -188,14 +218,9 @@
         let detail = "If-Match must be the number of the configuration to replace";
         return respond(&request, Response::problem(ResultCode::PatchBadValue, detail));
     };
-    let sent = source.send(ReplaceConfig { after, text: body });
-    let response = match tokio::time::timeout(COMMIT_TIMEOUT, sent).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(_)) | Err(_) => {
-            let detail = "no majority has stored the configuration yet; send it again";
-            Response::problem(ResultCode::LeadershipLost, detail)
-        }
-    };
+    let pending =
+        Response::Interrupted("no majority has stored the configuration yet; send it again");
+    let response = ask_leader(&source, ReplaceConfig { after, text: body }, pending).await;
     respond(&request, response)
 }
 
@@ -214,13 +239,12 @@
 
 async fn start_move(request: HttpRequest, body: web::Bytes, source: Source) -> HttpResponse {
     let response = match parse_move(&request, &body) {
-        Ok(message) => match tokio::time::timeout(COMMIT_TIMEOUT, source.send(message)).await {
-            Ok(response) => response.unwrap_or_else(|_| stopping_response()),
-            Err(_) => {
-                let detail = "no majority has stored the move yet; send the same request again";
-                Response::problem(ResultCode::LeadershipLost, detail)
-            }
-        },
+        Ok(message) => {
+            let pending = Response::Interrupted(
+                "no majority has stored the move yet; send the same request again",
+            );
+            ask_leader(&source, message, pending).await
+        }
         Err(response) => response,
     };
     respond(&request, response)
@@ -290,7 +314,7 @@
 }
 
 async fn list_members(request: HttpRequest, source: Source) -> HttpResponse {
-    let response = source.send(ListMembers).await.unwrap_or_else(|_| stopping_response());
+    let response = ask_leader(&source, ListMembers, stopping_response()).await;
     respond(&request, response)
 }
 
@@ -332,14 +356,8 @@
     source: &Source,
     change: MemberChange,
 ) -> HttpResponse {
-    let response =
-        match tokio::time::timeout(COMMIT_TIMEOUT, source.send(ChangeMembers(change))).await {
-            Ok(response) => response.unwrap_or_else(|_| stopping_response()),
-            Err(_) => {
-                let detail = "no majority has stored the change yet; see `member list`";
-                Response::problem(ResultCode::LeadershipLost, detail)
-            }
-        };
+    let pending = Response::Interrupted("no majority has stored the change yet; see `member list`");
+    let response = ask_leader(source, ChangeMembers(change), pending).await;
     respond(request, response)
 }
 
@@ -369,7 +387,7 @@
 }
 
 async fn run_query(request: &HttpRequest, source: &Source, query: Query) -> HttpResponse {
-    let response = source.send(RunQuery(query)).await.unwrap_or_else(|_| stopping_response());
+    let response = ask_leader(source, RunQuery(query), stopping_response()).await;
     respond(request, response)
 }
 
--- a/crates/daemon/src/source/messages.rs
+++ b/crates/daemon/src/source/messages.rs
@@ -9,12 +9,12 @@
 use crate::source::response::Response;
 
 /// Submits a patch as a new version.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct Submit(pub(crate) Submission);
 
 /// Replaces the full configuration in force.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct ReplaceConfig {
     /// Operators' number of the configuration to replace; the request fails if another one is in force.
@@ -24,7 +24,7 @@
 }
 
 /// Runs a read-only query, if this member is the leader with a valid lease.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct RunQuery(pub(crate) Query);
 
@@ -34,12 +34,12 @@
 pub(crate) struct GetHealth;
 
 /// Requests a membership change.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct ChangeMembers(pub(crate) MemberChange);
 
 /// Requests the list of members from the leader.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct ListMembers;
 
--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -25,7 +25,7 @@
 const RETRY_WINDOW_MS: u64 = 10_000;
 
 /// Starts moving the traffic of a service to a target version.
-#[derive(Debug, Message)]
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "Response")]
 pub(crate) struct StartMove {
     pub(crate) service: ServiceName,
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -150,7 +150,7 @@
     fn handle(&mut self, _: GetHealth, _: &mut Self::Context) -> MemberHealth {
         let (role, term, leader) = match &self.stage {
             Stage::Forming(_) => ("forming", 0, None),
-            Stage::Failed => ("failed", 0, None),
+            Stage::Failed(_) => ("failed", 0, None),
             Stage::Member(replica) => {
                 let role = match replica.role() {
                     RoleName::Leader => "leader",
--- a/crates/daemon/src/source/response.rs
+++ b/crates/daemon/src/source/response.rs
@@ -22,6 +22,10 @@
     Problem(Box<Problem>),
     /// Another member is the leader; holds the address of its operator API.
     Redirect(String),
+    /// The request has not been carried out, but may be very soon: a leader is being elected, or lacks information.
+    Unready(&'static str),
+    /// The leader was lost, or lost the lead, before the outcome was known; the same request may be sent again.
+    Interrupted(&'static str),
 }
 
 impl Response {
@@ -53,6 +57,10 @@
             Self::Redirect(address) => HttpResponse::build(StatusCode::TEMPORARY_REDIRECT)
                 .insert_header((LOCATION, format!("http://{address}{path}")))
                 .finish(),
+            Self::Unready(detail) => Problem::new(ResultCode::NoLeader, detail).into_response(),
+            Self::Interrupted(detail) => {
+                Problem::new(ResultCode::LeadershipLost, detail).into_response()
+            }
         }
     }
 }
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -46,6 +46,8 @@
     },
     /// The leader is to transfer leadership before it stops.
     Transfer,
+    /// The member can't store anything any more; a leader stops leading at once.
+    StorageFailed,
 }
 
 /// Output of the state machine.
@@ -115,6 +117,13 @@
         /// Term in which it was leader.
         term: u64,
     },
+    /// The member has stopped leading and asked another one to take over.
+    Resigned {
+        /// Term in which it was leader.
+        term: u64,
+        /// Member that is to take over.
+        successor: MemberId,
+    },
     /// The member follows a leader.
     Following {
         /// Term.
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -4,12 +4,16 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_schema::quorum::{
-    Entry, HardState, TransferRequest, VoteReply, VoteRequest, entry, peer,
+    Entry, HardState, Resignation, TransferRequest, VoteReply, VoteRequest, entry, peer,
 };
 
 use crate::effect::{Effect, Notice};
 use crate::membership::MembershipExt;
 use crate::replica::{LeaderState, Progress, Replica, Role};
+use crate::vote_restriction::VoteRestriction;
+
+/// A resigning leader's successor has this fraction (1/n) of the election time before others try to be elected.
+const SUCCESSOR_TIME_DIVISOR: u64 = 4;
 
 impl Replica {
     /// Starts a pre-vote: asks whether an election could be won, without changing the term.
@@ -147,17 +151,56 @@
 
     /// Starts transferring leadership to the most up-to-date voter.
     pub(crate) fn start_transfer(&mut self) {
-        let voters = self.other_voters();
+        let successor = self.most_current_voter();
         let Role::Leader(leader) = &mut self.role else { return };
-        let successor = leader
+        leader.successor = successor;
+        leader.transfer_started_at = successor.map(|_| self.now);
+        self.continue_transfer();
+    }
+
+    /// Returns the voter that has stored most of the leader's log, and of several the one heard from last.
+    fn most_current_voter(&self) -> Option<MemberId> {
+        let voters = self.other_voters();
+        let Role::Leader(leader) = &self.role else { return None };
+        leader
             .progress
             .iter()
             .filter(|(id, _)| voters.contains(id))
             .max_by_key(|(_, progress)| (progress.match_index, progress.acked_ms))
-            .map(|(id, _)| *id);
-        leader.successor = successor;
-        leader.transfer_started_at = successor.map(|_| self.now);
-        self.continue_transfer();
+            .map(|(id, _)| *id)
+    }
+
+    /// Stops leading at once, since this member can't store anything any more.
+    ///
+    /// Unlike a transfer, this doesn't wait until the successor has the whole log; if it lacks entries that the others
+    /// have, one of these is elected.
+    pub(crate) fn resign(&mut self) {
+        let Some(successor) = self.most_current_voter() else { return };
+        let term = self.hard_state.term;
+        for id in self.other_voters() {
+            let notice = Resignation { successor: successor.get() };
+            self.send_now(id, peer::Body::Resignation(notice));
+        }
+        self.effects.push(Effect::Report(Notice::Resigned { term, successor }));
+        self.become_follower(term, None);
+    }
+
+    /// Handles the resignation of the leader of the current term.
+    ///
+    /// It holds no lease any more, and no earlier leader does, since a majority elected it after the end of their leases.
+    pub(crate) fn on_resignation(&mut self, successor: MemberId) {
+        if matches!(self.role, Role::Leader(_)) {
+            return;
+        }
+        self.vote_restriction = VoteRestriction::None;
+        match successor == self.identity.id {
+            true => self.start_election(true),
+            false => {
+                self.become_follower(self.hard_state.term, None);
+                self.schedule_early_election();
+                self.election_deadline += self.timing.election / SUCCESSOR_TIME_DIVISOR;
+            }
+        }
     }
 
     /// Tells the successor to start an election once it has the whole log.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -197,6 +197,7 @@
             Event::SnapshotTaken { index, state } => self.on_snapshot_taken(index, state),
             Event::ChangeMembers { token, membership } => self.change_members(token, membership),
             Event::Transfer => self.start_transfer(),
+            Event::StorageFailed => self.resign(),
         }
         self.flush();
         std::mem::take(&mut self.effects)
@@ -352,6 +353,9 @@
             Some(peer::Body::Transfer(_)) if message.term == self.hard_state.term => {
                 self.start_election(true);
             }
+            Some(peer::Body::Resignation(notice)) if message.term == self.hard_state.term => {
+                self.on_resignation(MemberId::new(notice.successor));
+            }
             _ => {}
         }
     }
--- a/crates/quorum/tests/consensus_model.rs
+++ b/crates/quorum/tests/consensus_model.rs
@@ -31,6 +31,8 @@
     Thaw(u64),
     Snapshot(u64),
     Transfer(u64),
+    /// The storage of a member fails, and it starts again later.
+    FailStorage(u64, usize),
     Round,
     ChangeMembers(Change, u64),
 }
@@ -58,6 +60,12 @@
     prop::collection::vec(prop_oneof![10 => step(), 1 => membership_change()], 100..400)
 }
 
+fn steps_with_failures() -> impl Strategy<Value = Vec<Step>> {
+    let failure = (0..5_u64, any::<usize>()).prop_map(|(m, kept)| Step::FailStorage(m, kept));
+    let restart = (0..5_u64).prop_map(Step::Restart);
+    prop::collection::vec(prop_oneof![20 => step(), 1 => failure, 1 => restart], 100..400)
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     prop::collection::vec(step(), 100..400)
 }
@@ -112,6 +120,7 @@
             Step::Thaw(number) => cluster.set_paused(member(number), false),
             Step::Snapshot(number) => cluster.snapshot(member(number)),
             Step::Transfer(number) => cluster.transfer_leadership(member(number)),
+            Step::FailStorage(number, kept) => cluster.fail_storage(member(number), *kept),
             Step::Round => round(cluster),
             Step::ChangeMembers(kind, number) => change(cluster, *kind, member(number)),
         }
@@ -166,6 +175,13 @@
 proptest! {
     #![proptest_config(config())]
 
+    #[test]
+    fn failing_disks(seed in any::<u64>(), steps in steps_with_failures()) {
+        let mut cluster = Cluster::with_leader(5, 0, seed);
+        run(&mut cluster, 5, &steps);
+        cluster.heal_and_verify();
+    }
+
     #[test]
     fn three_members(seed in any::<u64>(), steps in steps()) {
         let mut cluster = Cluster::with_leader(3, 0, seed);
--- /dev/null
+++ b/crates/quorum/tests/resignations.rs
@@ -0,0 +1,66 @@
+//! Leaders whose storage fails hand over at once, and claim no entry that they have not stored.
+
+use kingcuplift_core::MemberId;
+use kingcuplift_testing::{Cluster, DiskFault, ELECTION_TIMEOUT};
+use rstest::rstest;
+
+/// Seed of the group's random numbers.
+const SEED: u64 = 11;
+/// Simulated time of one round, in milliseconds.
+const ROUND_MS: u64 = 20;
+
+/// Completes the writes of the given members, delivers all messages and advances the time, `count` times.
+fn rounds(cluster: &mut Cluster, writers: &[MemberId], count: u64) {
+    for _ in 0..count {
+        for id in writers {
+            cluster.sync(*id);
+        }
+        for _ in 0..cluster.in_flight() {
+            cluster.deliver(0, false);
+        }
+        cluster.advance(ROUND_MS);
+    }
+}
+
+fn others(cluster: &Cluster, member: MemberId) -> Vec<MemberId> {
+    cluster.ids().into_iter().filter(|id| *id != member).collect()
+}
+
+/// A full disk of the leader cost an election timeout: nobody was told that it had stopped leading.
+#[rstest]
+#[case::failed_sync(DiskFault::Sync)]
+#[case::full_disk(DiskFault::Full)]
+fn successor_takes_over(#[case] fault: DiskFault) {
+    let mut cluster = Cluster::with_leader(5, 0, SEED);
+    let leader = cluster.leader().expect("a leader");
+    cluster.inject_disk_fault(leader, fault);
+    cluster.propose(leader, b"refused by the disk");
+    rounds(&mut cluster, &[leader], 1);
+    let rest = others(&cluster, leader);
+    let limit = ELECTION_TIMEOUT / 3 / ROUND_MS;
+    rounds(&mut cluster, &rest, limit);
+    let next = cluster.leader().expect("a new leader within a third of an election timeout");
+    let token = cluster.propose(next, b"next");
+    rounds(&mut cluster, &rest, limit);
+    assert!(!cluster.refused.contains(&token));
+    assert!(cluster.acknowledged.values().any(|command| command == b"next"));
+    cluster.heal_and_verify();
+}
+
+/// The member that a leader asks to take over may be lost as well; the others don't wait for its election timeout.
+#[test]
+fn lost_successor_is_replaced() {
+    for lost in 0..4 {
+        let mut cluster = Cluster::with_leader(5, 0, SEED);
+        let leader = cluster.leader().expect("a leader");
+        let mut rest = others(&cluster, leader);
+        let lost = rest.remove(lost);
+        cluster.set_isolated(lost, true);
+        cluster.fail_storage(leader, 0);
+        // The earliest of the other members' own election timeouts ends a heartbeat interval later.
+        rounds(&mut cluster, &rest, 4 * ELECTION_TIMEOUT / 5 / ROUND_MS);
+        let next = cluster.leader().filter(|next| rest.contains(next));
+        assert!(next.is_some(), "a member takes over although {lost} is cut off");
+        cluster.heal_and_verify();
+    }
+}
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -186,6 +186,12 @@
         member.is_paused = false;
     }
 
+    /// Tells a member that its storage has failed, and crashes it; `kept` is as in [`Self::crash`].
+    pub fn fail_storage(&mut self, id: MemberId, kept: usize) {
+        self.handle_event(id, Event::StorageFailed);
+        self.crash(id, kept);
+    }
+
     /// Crashes a member and replaces its disk by an empty one.
     pub fn wipe(&mut self, id: MemberId) {
         self.crash(id, 0);
@@ -446,7 +452,7 @@
                 false => store.save(std::slice::from_ref(&write.record)),
             };
             if snapshot.is_err() || saved.is_err() {
-                self.crash(id, 1);
+                self.fail_storage(id, 1);
                 return false;
             }
         }
