--- a/crates/quorum/tests/resignations.rs
+++ b/crates/quorum/tests/resignations.rs
@@ -1,6 +1,10 @@
 //! Leaders whose storage fails hand over at once, and claim no entry that they have not stored.
 
 use kingcuplift_core::MemberId;
+use kingcuplift_quorum::{Effect, Event, Identity, Replica, Restored, Timing};
+use kingcuplift_schema::quorum::{
+    AppendRequest, HardState, Membership, Peer, Resignation, Snapshot, VoteRequest, Voter, peer,
+};
 use kingcuplift_testing::{Cluster, DiskFault, ELECTION_TIMEOUT};
 use rstest::rstest;
 
@@ -64,3 +68,44 @@
         cluster.heal_and_verify();
     }
 }
+
+fn message(from: u64, term: u64, body: peer::Body) -> Event {
+    let (disk, group) = (from * 10, 5);
+    Event::Receive(Box::new(Peer { from, disk, group, term, body: Some(body) }))
+}
+
+fn bodies(effects: Vec<Effect>) -> impl Iterator<Item = peer::Body> {
+    effects.into_iter().filter_map(|effect| match effect {
+        Effect::Send { message, .. } => message.body,
+        _ => None,
+    })
+}
+
+/// A resignation that arrives late ends neither the lease of the next leader nor the wait for its heartbeats.
+#[test]
+fn late_resignation_is_ignored() {
+    let voter = |number: u64| Voter { id: number, disk: number * 10, ..Voter::default() };
+    let voters = vec![voter(1), voter(2), voter(3)];
+    let membership = Some(Membership { group: 5, voters, learners: Vec::new() });
+    let restored = Restored {
+        hard_state: HardState { term: 2, vote: 0 },
+        snapshot: Snapshot { membership, ..Snapshot::default() },
+        entries: Vec::new(),
+    };
+    let identity = Identity { id: MemberId::new(1), disk: 10 };
+    let timing = Timing { election: 300, heartbeat: 60 };
+    let mut replica = Replica::new(identity, timing, restored, SEED, 0);
+    let heartbeat = peer::Body::Append(AppendRequest::default());
+    replica.handle(message(2, 3, heartbeat), 1);
+    let resignation = Resignation { successor: 1 };
+    let effects = replica.handle(message(3, 2, peer::Body::Resignation(resignation)), 2);
+    assert_eq!(bodies(effects).count(), 0, "no election is started");
+    assert_eq!(replica.leader(), Some(MemberId::new(2)));
+    let request = VoteRequest { pre: true, last_index: 9, last_term: 3, transfer: false };
+    let effects = replica.handle(message(3, 3, peer::Body::Vote(request)), 3);
+    let sent: Vec<_> = bodies(effects).chain(bodies(replica.handle(Event::Stored(1), 4))).collect();
+    assert!(
+        matches!(sent.as_slice(), [peer::Body::AppendReply(_), peer::Body::VoteReply(reply)] if !reply.granted),
+        "the lease is kept: {sent:?}"
+    );
+}
