Source: only requests that may be repeated are led on after an interruption

They get 503, "unknown", as before. submission_without_id_is_not_redirected fails without this (it got 307). A failed member sends nobody to a leader that it no longer hears.

--- a/crates/cli/tests/refused_writes.rs
+++ b/crates/cli/tests/refused_writes.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use kingcuplift_testing::{
-    LeaderFault, LeaderFaultOptions, Operator, Order, OrderKind, PlaintextSite, run_leader_faults,
+    LeaderFault, LeaderFaultOptions, Operator, Order, OrderKind, PlaintextSite, request,
+    run_leader_faults,
 };
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -65,6 +66,21 @@
     }
 }
 
+/// Without an id of its own, a submission that is sent again is another one; a redirect would lead to a conflict with itself.
+#[test]
+fn submission_without_id_is_not_redirected() {
+    let site = PlaintextSite::start(3, &[]);
+    assert_eq!(submit(&site, 0), 1);
+    let leader = site.wait("a leader", PlaintextSite::leader);
+    site.refuse_writes(&format!("core-{leader}"), true);
+    let patch = json!({ "services": { "desk": { "slots": 9 } } });
+    let body = json!({ "base": 1, "patch": patch }).to_string();
+    let address = site.operator_address(leader);
+    let response = request(&address, "POST", "/v1/versions", "", &body);
+    let run = response.json()["run"].clone();
+    assert_eq!((response.status, run), (503, json!("unknown")), "{response:?}");
+}
+
 /// Each fault cost an election timeout and a growing pause of the operator, in sum more than 4 s.
 #[rstest]
 #[case::revisions(LeaderFault::RefuseWrites, OrderKind::Revision)]
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -410,7 +410,7 @@
                 replica.role() == RoleName::Leader
                     || now > replica.last_leader_contact() + longest_silence
             }
-            Stage::Failed(_) => false,
+            Stage::Failed(observer) => now > observer.heard_ms() + longest_silence,
         };
         let leader = self.leader_addresses().filter(|_| !is_silent);
         let is_election_due =
@@ -549,7 +549,7 @@
             (Stage::Member(_), Some(peer::Body::Offer(_))) => self.handle_offer(message),
             (Stage::Member(_), _) if self.writer.is_some() => self.step(Input::Receive(message)),
             (Stage::Failed(observer), _) => {
-                observer.observe(&message);
+                observer.observe(&message, monotonic_ms());
                 self.hint_local_relay();
             }
             _ => {}
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -97,11 +97,25 @@
 
 type Source = web::Data<Addr<SourceActor>>;
 
+/// Whether a client may repeat a request whose outcome it doesn't know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Repetition {
+    /// The source recognises the repetition, or it changes nothing more.
+    Safe,
+    /// The repetition may be refused although the request was carried out.
+    Unsafe,
+}
+
 /// Sends a request to the actor, again and again while a leader is being elected.
 ///
-/// An operator that is turned away tries again later and later, and may then miss the new leader by seconds. The request
-/// must be one that may be repeated; `pending` is the response if its outcome is not known in time.
-async fn ask_leader<M>(source: &Source, request: M, pending: Response) -> Response
+/// An operator that is turned away tries again later and later, and may then miss the new leader by seconds. `pending` is the
+/// response if the outcome is not known in time.
+async fn ask_leader<M>(
+    source: &Source,
+    request: M,
+    repetition: Repetition,
+    pending: Response,
+) -> Response
 where
     M: Message<Result = Response> + Clone + Send + 'static,
     SourceActor: Handler<M>,
@@ -116,7 +130,9 @@
         };
         let may_wait = started_at.elapsed() < ELECTION_WAIT;
         match response {
-            Response::Interrupted(detail) if may_wait => interruption = Some(detail),
+            Response::Interrupted(detail) if may_wait && repetition == Repetition::Safe => {
+                interruption = Some(detail);
+            }
             Response::Unready(_) if may_wait => {}
             // The request may have been carried out before.
             Response::Unready(detail) => {
@@ -157,14 +173,23 @@
         author: header(request, AUTHOR_HEADER).unwrap_or_default(),
         ..Submission::default()
     };
-    send_submission(source, submission).await
+    // Without an id from the client, its repetition would be another submission.
+    let repetition = match request.headers().contains_key(OPERATION_HEADER) {
+        true => Repetition::Safe,
+        false => Repetition::Unsafe,
+    };
+    send_submission(source, submission, repetition).await
 }
 
-async fn send_submission(source: &Source, submission: Submission) -> Response {
+async fn send_submission(
+    source: &Source,
+    submission: Submission,
+    repetition: Repetition,
+) -> Response {
     let pending = Response::Interrupted(
         "no majority has stored the submission yet; send the same operation id again",
     );
-    ask_leader(source, Submit(submission), pending).await
+    ask_leader(source, Submit(submission), repetition, pending).await
 }
 
 /// Returns the operation id of the request, or a new one.
@@ -220,7 +245,8 @@
     };
     let pending =
         Response::Interrupted("no majority has stored the configuration yet; send it again");
-    let response = ask_leader(&source, ReplaceConfig { after, text: body }, pending).await;
+    let message = ReplaceConfig { after, text: body };
+    let response = ask_leader(&source, message, Repetition::Safe, pending).await;
     respond(&request, response)
 }
 
@@ -243,7 +269,7 @@
             let pending = Response::Interrupted(
                 "no majority has stored the move yet; send the same request again",
             );
-            ask_leader(&source, message, pending).await
+            ask_leader(&source, message, Repetition::Safe, pending).await
         }
         Err(response) => response,
     };
@@ -310,11 +336,11 @@
         author: header(request, AUTHOR_HEADER).unwrap_or_default(),
         ..Submission::default()
     };
-    send_submission(source, submission).await
+    send_submission(source, submission, Repetition::Safe).await
 }
 
 async fn list_members(request: HttpRequest, source: Source) -> HttpResponse {
-    let response = ask_leader(&source, ListMembers, stopping_response()).await;
+    let response = ask_leader(&source, ListMembers, Repetition::Safe, stopping_response()).await;
     respond(&request, response)
 }
 
@@ -357,7 +383,8 @@
     change: MemberChange,
 ) -> HttpResponse {
     let pending = Response::Interrupted("no majority has stored the change yet; see `member list`");
-    let response = ask_leader(source, ChangeMembers(change), pending).await;
+    let change = ChangeMembers(change);
+    let response = ask_leader(source, change, Repetition::Unsafe, pending).await;
     respond(request, response)
 }
 
@@ -387,7 +414,7 @@
 }
 
 async fn run_query(request: &HttpRequest, source: &Source, query: Query) -> HttpResponse {
-    let response = ask_leader(source, RunQuery(query), stopping_response()).await;
+    let response = ask_leader(source, RunQuery(query), Repetition::Safe, stopping_response()).await;
     respond(request, response)
 }
 
