--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -77,7 +77,7 @@
             submit_interval,
             callers: arguments.callers,
             is_proxied: !arguments.direct,
-            has_disk_faults: arguments.disk_faults,
+            disk_faults: arguments.disk_faults,
             ends_with_kill: arguments.kill_at_end,
             idle_routes,
             member_share,
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -54,7 +54,7 @@
     /// Whether all links pass through proxies that disturb them.
     pub is_proxied: bool,
     /// Whether disks of members refuse writes at times.
-    pub has_disk_faults: bool,
+    pub disk_faults: bool,
     /// Whether all processes are killed right after the last confirmation.
     pub ends_with_kill: bool,
     /// Longest pause between two faults.
@@ -82,7 +82,7 @@
             callers: 4,
             election_timeout: None,
             is_proxied: true,
-            has_disk_faults: false,
+            disk_faults: false,
             ends_with_kill: false,
             fault_interval: Duration::from_millis(600),
             longest_fault: Duration::from_millis(2_500),
@@ -190,15 +190,13 @@
 pub fn run_soak(options: SoakOptions) -> SoakReport {
     let run_counts: RunCounts = Arc::new(Mutex::new(HashMap::new()));
     let shared: Shared = (Arc::default(), Arc::new(AtomicBool::new(false)));
-    let backends: Vec<Backend> =
-        (1..=options.nodes).map(|number| Backend::start(number, &run_counts, &shared.1)).collect();
-    let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
-    let (is_proxied, election_timeout) = (options.is_proxied, options.election_timeout);
-    let site = PlaintextSite::start_with(options.members, &addresses, is_proxied, election_timeout);
-    let nodes: Vec<String> = (1..=options.nodes).map(|number| format!("node-{number}")).collect();
-    for (backend, node) in backends.iter().zip(&nodes) {
-        backend.start_reporting(site.addresses(node).admin.clone());
-    }
+    let (site, nodes) = start_site(
+        (options.members, options.nodes),
+        options.is_proxied,
+        options.election_timeout,
+        &run_counts,
+        &shared.1,
+    );
     let members =
         (1..=options.members).map(|number| site.operator_address(number)).collect::<Vec<_>>();
     let members: Members = Arc::new(Mutex::new(members));
@@ -278,6 +276,25 @@
     }
 }
 
+/// Starts a site with numbers of members and of nodes, each with a target that reports to it; returns the names of the nodes, too.
+fn start_site(
+    (members, nodes): (usize, usize),
+    is_proxied: bool,
+    election_timeout: Option<Duration>,
+    run_counts: &RunCounts,
+    is_stopped: &Arc<AtomicBool>,
+) -> (PlaintextSite, Vec<String>) {
+    let backends: Vec<Backend> =
+        (1..=nodes).map(|number| Backend::start(number, run_counts, is_stopped)).collect();
+    let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
+    let site = PlaintextSite::start_with(members, &addresses, is_proxied, election_timeout);
+    let nodes: Vec<String> = (1..=nodes).map(|number| format!("node-{number}")).collect();
+    for (backend, node) in backends.iter().zip(&nodes) {
+        backend.start_reporting(site.addresses(node).admin.clone());
+    }
+    (site, nodes)
+}
+
 /// Submits the first version and waits until a node has it in force.
 fn submit_first_version(site: &PlaintextSite, observations: &Observations, idle_routes: usize) {
     let document = load::document(1, 0, &[], idle_routes);
--- a/crates/testing/src/soak/faults.rs
+++ b/crates/testing/src/soak/faults.rs
@@ -134,7 +134,7 @@
 
     pub(super) fn draw_fault(&mut self) -> Fault {
         let on_links = if self.options.is_proxied { &Fault::ON_LINKS[..] } else { &[] };
-        let on_disks = if self.options.has_disk_faults { &Fault::ON_DISKS[..] } else { &[] };
+        let on_disks = if self.options.disk_faults { &Fault::ON_DISKS[..] } else { &[] };
         let faults = [&Fault::ON_PROCESSES[..], on_links, on_disks].concat();
         faults[self.rng.random_range(0..faults.len())]
     }
--- a/crates/testing/src/soak/leader_faults.rs
+++ b/crates/testing/src/soak/leader_faults.rs
@@ -9,10 +9,10 @@
 
 use serde_json::json;
 
-use super::backend::{Backend, RunCounts};
-use super::load::{self, Observations, Shared};
+use super::backend::RunCounts;
+use super::load::{self, Shared};
 use super::throttle::Throttle;
-use super::{LONG_ELECTION_TIMEOUT, submit_first_version};
+use super::{LONG_ELECTION_TIMEOUT, start_site, submit_first_version};
 use crate::operator::{Operator, Order, OrderReport};
 use crate::plaintext_site::PlaintextSite;
 
@@ -185,15 +185,9 @@
     let run_counts: RunCounts = Arc::new(Mutex::new(HashMap::new()));
     let shared: Shared = (Arc::default(), Arc::new(AtomicBool::new(false)));
     let (observations, is_stopped) = &shared;
-    let backends: Vec<Backend> =
-        (1..=options.nodes).map(|number| Backend::start(number, &run_counts, is_stopped)).collect();
-    let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
+    let sizes = (options.members, options.nodes);
     let election = Some(LONG_ELECTION_TIMEOUT);
-    let mut site = PlaintextSite::start_with(options.members, &addresses, false, election);
-    let nodes: Vec<String> = (1..=options.nodes).map(|number| format!("node-{number}")).collect();
-    for (backend, node) in backends.iter().zip(&nodes) {
-        backend.start_reporting(site.addresses(node).admin.clone());
-    }
+    let (mut site, nodes) = start_site(sizes, false, election, &run_counts, is_stopped);
     submit_first_version(&site, observations, options.idle_routes);
     let mut threads = start_callers(&site, &nodes, options, &shared);
     let throttle = Throttle::default();
@@ -233,10 +227,6 @@
     }
     let violations = observations.violations();
     assert!(violations.is_empty(), "{violations:#?}");
-    if let Ok(folder) = std::env::var("KINGCUPLIFT_TEST_LOGS") {
-        let path = format!("{folder}/leader-faults-{}-{}.log", options.fault, options.seed);
-        std::fs::write(path, site.logs()).expect("the logs can be written");
-    }
     reports
 }
 
@@ -244,7 +234,7 @@
     site: &PlaintextSite,
     nodes: &[String],
     options: LeaderFaultOptions,
-    shared: &(Arc<Observations>, Arc<AtomicBool>),
+    shared: &Shared,
 ) -> Vec<std::thread::JoinHandle<()>> {
     let callers: Vec<String> =
         nodes.iter().map(|node| site.addresses(node).callers.clone()).collect();
