--- a/crates/daemon/src/source/response.rs
+++ b/crates/daemon/src/source/response.rs
@@ -22,7 +22,7 @@
     Problem(Box<Problem>),
     /// Another member is the leader; holds the address of its operator API.
     Redirect(String),
-    /// The request has not been carried out, but may be very soon: a leader is being elected, or lacks information.
+    /// The request has not been carried out, as no leader is known; one is being elected, so it may be tried again shortly.
     Unready(&'static str),
     /// The leader was lost, or lost the lead, before the outcome was known; the same request may be sent again.
     Interrupted(&'static str),
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -313,8 +313,8 @@
 
 /// Returns the highest committed index that each member is known to have stored.
 ///
-/// Uncommitted entries don't count, since a later leader may overwrite them. `own` is the leader with the last index that it
-/// has synced; the others may have committed entries that its own disk has not stored yet, or will never store.
+/// Uncommitted entries don't count, since a later leader may overwrite them. `own` is the leader with the last index that
+/// it has synced: the others may have committed entries that its own disk has not stored yet, or never will.
 fn watermarks(
     leader: &LeaderState,
     membership: &Membership,
--- a/crates/testing/src/operator.rs
+++ b/crates/testing/src/operator.rs
@@ -12,7 +12,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after the first failed attempt; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
-/// Time after which the operator gives up an order.
+/// Time after which the operator makes no further attempt at an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// An operator's request that changes the state of the source.
