--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -20,7 +20,7 @@
     start_desk_site, wall_ms,
 };
 pub use disk::{DiskFault, FakeDisk};
-pub use operator::{Operator, Order, OrderReport};
+pub use operator::{LossRate, Operator, Order, OrderReport};
 pub use plaintext_site::{
     NodeAddresses, PlaintextSite, ProxiedAddress, RawResponse, request, send_request,
 };
@@ -28,6 +28,6 @@
 pub use scripted::{PIECE_BYTES, ReceivedRequest, ScriptedTarget, TargetBehavior};
 pub use site::{Response, Site, SiteBuilder};
 pub use soak::{
-    LeaderFault, LeaderFaultOptions, OrderKind, Proxy, ProxyFault, SoakOptions, SoakReport,
-    run_leader_faults, run_soak,
+    LeaderFault, LeaderFaultOptions, OrderKind, PlannedDayOptions, PlannedDayReport, PlannedOrder,
+    Proxy, ProxyFault, SoakOptions, SoakReport, run_leader_faults, run_planned_day, run_soak,
 };
--- a/crates/testing/src/operator.rs
+++ b/crates/testing/src/operator.rs
@@ -48,11 +48,27 @@
     attempts: Vec<Attempt>,
 }
 
+/// Fraction of the clear responses that are lost on their way to the operator.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct LossRate(f64);
+
+impl LossRate {
+    /// Creates a rate from a fraction between 0 and 1.
+    pub fn new(fraction: f64) -> Self {
+        Self(fraction)
+    }
+}
+
 impl OrderReport {
     /// Returns whether the order was confirmed.
     pub fn is_confirmed(&self) -> bool {
         matches!(self.response.status, 200..300)
     }
+
+    /// Returns the address of the member that ended the order.
+    pub(crate) fn last_address(&self) -> Option<&str> {
+        self.attempts.last().map(|attempt| attempt.address.as_str())
+    }
 }
 
 impl fmt::Display for OrderReport {
@@ -71,12 +87,20 @@
 pub struct Operator {
     addresses: Vec<String>,
     rng: SmallRng,
+    loss_rate: LossRate,
 }
 
 impl Operator {
     /// Creates an operator that picks members at random.
     pub fn new(addresses: Vec<String>, seed: u64) -> Self {
-        Self { addresses, rng: SmallRng::seed_from_u64(seed) }
+        Self { addresses, rng: SmallRng::seed_from_u64(seed), loss_rate: LossRate::default() }
+    }
+
+    /// Sets how many of the clear responses the operator doesn't receive.
+    #[must_use]
+    pub fn with_loss_rate(mut self, loss_rate: LossRate) -> Self {
+        self.loss_rate = loss_rate;
+        self
     }
 
     /// Sends an order, with a growing pause after each attempt that gets no clear response, until it is confirmed or
@@ -91,7 +115,7 @@
             let response = send_once(order, address, started_at, &mut attempts);
             let is_clear = match response.status {
                 408 | 429 => false,
-                200..500 => true,
+                200..500 => !self.rng.random_bool(self.loss_rate.0),
                 _ => false,
             };
             if is_clear || started_at.elapsed() > ORDER_TIMEOUT {
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -124,6 +124,20 @@
         targets: &[SocketAddr],
         is_proxied: bool,
         election_timeout: Option<Duration>,
+    ) -> Self {
+        let mut site = Self::prepare(members, targets, is_proxied, election_timeout);
+        for name in site.names() {
+            site.start_process(&name);
+        }
+        site
+    }
+
+    /// Writes the settings of members and nodes, and starts none of them.
+    pub(crate) fn prepare(
+        members: usize,
+        targets: &[SocketAddr],
+        is_proxied: bool,
+        election_timeout: Option<Duration>,
     ) -> Self {
         let allocate_hosts =
             || (0..members).map(|_| AddressPool::new().host().to_owned()).collect();
@@ -148,9 +162,6 @@
             let settings = site.node_settings(i + 1, *target);
             site.write_settings(&format!("node-{}", i + 1), &settings);
         }
-        for name in site.settings.keys().cloned().collect::<Vec<_>>() {
-            site.start_process(&name);
-        }
         site
     }
 
--- a/crates/testing/src/soak/leader_faults.rs
+++ b/crates/testing/src/soak/leader_faults.rs
@@ -189,7 +189,7 @@
     let election = Some(LONG_ELECTION_TIMEOUT);
     let (mut site, nodes) = start_site(sizes, false, election, &run_counts, is_stopped);
     submit_first_version(&site, observations, options.idle_routes);
-    let mut threads = start_callers(&site, &nodes, options, &shared);
+    let mut threads = start_callers(&site, &nodes, options.callers, options.seed, &shared);
     let throttle = Throttle::default();
     let (limits, stop) = (throttle.clone(), Arc::clone(is_stopped));
     threads.push(std::thread::spawn(move || limits.run(&stop)));
@@ -230,10 +230,12 @@
     reports
 }
 
-fn start_callers(
+/// Starts `count` threads that send calls to all nodes.
+pub(super) fn start_callers(
     site: &PlaintextSite,
     nodes: &[String],
-    options: LeaderFaultOptions,
+    count: u64,
+    seed: u64,
     shared: &Shared,
 ) -> Vec<std::thread::JoinHandle<()>> {
     let callers: Vec<String> =
@@ -241,10 +243,10 @@
     let start = |number: u64| {
         let (callers, (observations, is_stopped)) = (callers.clone(), shared.clone());
         std::thread::spawn(move || {
-            load::send_calls(&callers, number, options.seed, &observations, &is_stopped);
+            load::send_calls(&callers, number, seed, &observations, &is_stopped);
         })
     };
-    (0..options.callers).map(start).collect()
+    (0..count).map(start).collect()
 }
 
 fn begin(site: &mut PlaintextSite, name: &str, fault: LeaderFault) {
