--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -50,7 +50,7 @@
             transfer,
         };
         for id in self.other_voters() {
-            self.send_synced(id, peer::Body::Vote(request));
+            self.send_vote_message(id, pre, peer::Body::Vote(request));
         }
     }
 
@@ -89,7 +89,16 @@
 
     fn reply_vote(&mut self, to: MemberId, pre: bool, granted: bool) {
         let last_index = self.log.last_index();
-        self.send_synced(to, peer::Body::VoteReply(VoteReply { pre, granted, last_index }));
+        let reply = VoteReply { pre, granted, last_index };
+        self.send_vote_message(to, pre, peer::Body::VoteReply(reply));
+    }
+
+    /// Sends a message of an election; a pre-vote binds nobody, so it need not wait for a sync.
+    fn send_vote_message(&mut self, to: MemberId, pre: bool, body: peer::Body) {
+        match pre {
+            true => self.send_now(to, body),
+            false => self.send_synced(to, body),
+        }
     }
 
     pub(crate) fn on_vote_reply(&mut self, from: MemberId, disk: u64, term: u64, reply: VoteReply) {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -19,6 +19,10 @@
 const DRIFT_DIVISOR: u64 = 10;
 /// Early elections of successive voters are this fraction (1/n) of the election time apart.
 const STAGGER_DIVISOR: u64 = 10;
+/// Syncs in series until a candidate is elected: its own vote, and then those of the others.
+const VOTE_SYNCS: u64 = 2;
+/// Elections allow for syncs of up to this number of election times.
+const MAX_SYNC_DELAY_ELECTIONS: u64 = 2;
 /// Number of election times after a start during which failed elections are retried early.
 const EARLY_RETRY_ELECTIONS: u64 = 3;
 
@@ -101,6 +105,15 @@
     pub(crate) transfer_started_at: Option<Millis>,
 }
 
+/// A write that is not synced yet.
+#[derive(Debug, Clone, Copy)]
+struct PendingWrite {
+    seq: WriteSeq,
+    /// Last index of the log that is synced with it.
+    last_index: u64,
+    issued_at: Millis,
+}
+
 /// One member of the replicated log.
 #[derive(Debug)]
 pub struct Replica {
@@ -130,7 +143,11 @@
     last_seq: WriteSeq,
     synced_seq: WriteSeq,
     awaiting_sync: VecDeque<(WriteSeq, Effect)>,
-    pending_writes: VecDeque<(WriteSeq, u64)>,
+    pending_writes: VecDeque<PendingWrite>,
+    /// Last write with a new term or vote.
+    last_vote_seq: WriteSeq,
+    /// Time that recent syncs have taken.
+    sync_delay: Millis,
     rng: SmallRng,
 }
 
@@ -178,6 +195,8 @@
             synced_seq: 0,
             awaiting_sync: VecDeque::new(),
             pending_writes: VecDeque::new(),
+            last_vote_seq: 0,
+            sync_delay: 0,
             rng,
         };
         replica.schedule_early_election();
@@ -324,7 +343,8 @@
         match &self.role {
             Role::Leader(_) => self.tick_leader(),
             _ if !self.disk_verification.is_verified()
-                || self.vote_restriction.blocks_candidacy() => {}
+                || self.vote_restriction.blocks_candidacy()
+                || self.is_vote_unsynced() => {}
             _ if self.now >= self.election_deadline => self.start_pre_vote(),
             _ => {}
         }
@@ -345,6 +365,9 @@
             Some(peer::Body::AppendReply(reply)) => {
                 self.on_append_reply(from, message.disk, message.term, reply);
             }
+            Some(peer::Body::Receipt(receipt)) => {
+                self.on_receipt(from, message.disk, message.term, receipt);
+            }
             Some(peer::Body::Snapshot(request)) => self.on_snapshot(from, message.term, request),
             Some(peer::Body::Inquiry(request)) => self.on_inquiry(from, message.disk, request),
             Some(peer::Body::InquiryReply(reply)) => {
@@ -393,23 +416,31 @@
         self.unsaved_entries.extend(entries.iter().cloned());
         self.synced_index = self.synced_index.min(first - 1);
         for write in &mut self.pending_writes {
-            write.1 = write.1.min(first - 1);
+            write.last_index = write.last_index.min(first - 1);
         }
         self.log.append(entries);
     }
 
     fn on_stored(&mut self, seq: WriteSeq) {
+        let is_vote_stored = self.is_vote_unsynced() && seq >= self.last_vote_seq;
+        self.sync_delay = self.present_sync_delay().max(self.sync_delay / 2);
         self.synced_seq = self.synced_seq.max(seq);
-        while let Some((write, index)) = self.pending_writes.front().copied() {
-            if write > seq {
+        while let Some(write) = self.pending_writes.front().copied() {
+            if write.seq > seq {
                 break;
             }
-            self.synced_index = self.synced_index.max(index);
+            self.synced_index = self.synced_index.max(write.last_index);
             self.pending_writes.pop_front();
         }
         while self.awaiting_sync.front().is_some_and(|(write, _)| *write <= seq) {
             self.effects.extend(self.awaiting_sync.pop_front().map(|(_, effect)| effect));
         }
+        // The messages that ask for votes, or grant one, leave only now.
+        match &self.role {
+            Role::Candidate { .. } if is_vote_stored => self.schedule_election_retry(),
+            Role::Follower { .. } if is_vote_stored => self.reset_election_deadline(),
+            _ => {}
+        }
         self.advance_commit();
     }
 
@@ -436,11 +467,16 @@
 
     fn issue_write(&mut self, snapshot: Option<std::sync::Arc<Snapshot>>) {
         self.last_seq += 1;
+        let seq = self.last_seq;
         let hard_state = (self.hard_state != self.saved_hard_state).then_some(self.hard_state);
+        if hard_state.is_some() {
+            self.last_vote_seq = seq;
+        }
         self.saved_hard_state = self.hard_state;
         let entries = std::mem::take(&mut self.unsaved_entries);
-        self.pending_writes.push_back((self.last_seq, self.log.last_index()));
-        self.effects.push(Effect::Save { seq: self.last_seq, hard_state, entries, snapshot });
+        let last_index = self.log.last_index();
+        self.pending_writes.push_back(PendingWrite { seq, last_index, issued_at: self.now });
+        self.effects.push(Effect::Save { seq, hard_state, entries, snapshot });
     }
 
     /// Applies committed entries, with the tokens of their proposals.
@@ -474,6 +510,33 @@
         }
     }
 
+    /// Returns whether any change is not synced yet.
+    pub(crate) fn has_unsynced_writes(&self) -> bool {
+        self.last_seq > self.synced_seq
+            || self.hard_state != self.saved_hard_state
+            || !self.unsaved_entries.is_empty()
+    }
+
+    /// Returns whether this member's term or vote is being written.
+    fn is_vote_unsynced(&self) -> bool {
+        self.last_vote_seq > self.synced_seq
+    }
+
+    /// Returns for how long the oldest write has been waiting for its sync.
+    fn present_sync_delay(&self) -> Millis {
+        self.pending_writes.front().map_or(0, |write| self.now - write.issued_at)
+    }
+
+    /// Returns how much longer an election takes because of slow disks: the candidate and then its voters store a vote.
+    ///
+    /// The timeouts themselves leave room for syncs that take up to the stagger of the voters.
+    fn election_sync_delay(&self) -> Millis {
+        let election = self.timing.election;
+        let delay = self.sync_delay.max(self.present_sync_delay());
+        let excess = delay.saturating_sub(election / STAGGER_DIVISOR);
+        VOTE_SYNCS * excess.min(MAX_SYNC_DELAY_ELECTIONS * election)
+    }
+
     fn envelope(&self, body: peer::Body) -> Box<Peer> {
         Box::new(Peer {
             from: self.identity.id.get(),
@@ -546,8 +609,10 @@
         let stagger = self.timing.election / STAGGER_DIVISOR;
         let voters = self.log.membership().voters.iter();
         let position = voters.take_while(|voter| voter.id != self.identity.id.get()).count() as u64;
-        self.election_deadline =
-            self.now + stagger * (position + 1) + self.rng.random_range(0..=stagger / 4);
+        self.election_deadline = self.now
+            + stagger * (position + 1)
+            + self.rng.random_range(0..=stagger / 4)
+            + self.election_sync_delay();
     }
 
     /// Schedules the next election, in case the one that starts now fails.
@@ -561,6 +626,7 @@
     /// Sets a new randomized election timeout.
     pub(crate) fn reset_election_deadline(&mut self) {
         let election = self.timing.election;
-        self.election_deadline = self.now + self.rng.random_range(election..2 * election);
+        self.election_deadline =
+            self.now + self.rng.random_range(election..2 * election) + self.election_sync_delay();
     }
 }
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -4,7 +4,8 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_schema::quorum::{
-    AppendReply, AppendRequest, Entry, Membership, SnapshotRequest, Voter, Watermark, entry, peer,
+    AppendReply, AppendRequest, Entry, HeartbeatReceipt, Membership, SnapshotRequest, Voter,
+    Watermark, entry, peer,
 };
 
 use crate::effect::{Effect, Refusal, Token};
@@ -124,6 +125,9 @@
         if !self.disk_verification.is_verified() {
             return;
         }
+        if request.entries.is_empty() && self.has_unsynced_writes() {
+            self.send_receipt(from, request.sent_ms);
+        }
         match self.log.term_at(request.prev_index) {
             Some(term) if term == request.prev_term => {}
             None if request.prev_index < self.log.base_index() => {
@@ -157,6 +161,51 @@
         hint
     }
 
+    /// Confirms a heartbeat at once; the reply to it waits for the writes before it.
+    ///
+    /// The lease and the lead of the leader depend on this member being there, not on what it has stored. With a receipt,
+    /// they outlast a sync that takes longer than the election timeout.
+    fn send_receipt(&mut self, to: MemberId, sent_ms: u64) {
+        let receipt = HeartbeatReceipt { sent_ms, last_index: self.log.last_index() };
+        self.send_now(to, peer::Body::Receipt(receipt));
+    }
+
+    /// Records that a member has received a heartbeat.
+    pub(crate) fn on_receipt(
+        &mut self,
+        from: MemberId,
+        disk: u64,
+        term: u64,
+        receipt: HeartbeatReceipt,
+    ) {
+        self.record_contact(from, disk, term, receipt.last_index, receipt.sent_ms);
+    }
+
+    /// Records that a member has answered a request of this leader's term; returns false if the answer doesn't count.
+    fn record_contact(
+        &mut self,
+        from: MemberId,
+        disk: u64,
+        term: u64,
+        last_index: u64,
+        sent_ms: u64,
+    ) -> bool {
+        if term > self.hard_state.term {
+            self.become_follower(term, None);
+            return false;
+        }
+        if term < self.hard_state.term
+            || !self.check_disk(from, disk)
+            || self.has_lost_entries(from, disk, last_index)
+        {
+            return false;
+        }
+        let Role::Leader(leader) = &mut self.role else { return false };
+        let Some(progress) = leader.progress.get_mut(&from) else { return false };
+        progress.acked_ms = progress.acked_ms.max(sent_ms);
+        true
+    }
+
     fn reply_append(&mut self, to: MemberId, accepted: bool, index: u64, sent_ms: u64) {
         self.send_synced(
             to,
@@ -176,18 +225,11 @@
         term: u64,
         reply: AppendReply,
     ) {
-        if term > self.hard_state.term {
-            return self.become_follower(term, None);
-        }
-        if term < self.hard_state.term || !self.check_disk(from, disk) {
-            return;
-        }
-        if self.has_lost_entries(from, disk, reply.last_index) {
+        if !self.record_contact(from, disk, term, reply.last_index, reply.sent_ms) {
             return;
         }
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(&from) else { return };
-        progress.acked_ms = progress.acked_ms.max(reply.sent_ms);
         match reply.accepted {
             true => {
                 progress.match_index = progress.match_index.max(reply.index);
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -43,6 +43,8 @@
     store: Option<Store<FakeDisk>>,
     disk: Option<FakeDisk>,
     pending_writes: VecDeque<Write>,
+    /// Number of the writes whose sync is in progress, and when it began.
+    sync_started: Option<(usize, Millis)>,
     applied: Vec<Vec<u8>>,
     applied_index: u64,
     is_paused: bool,
@@ -103,6 +105,7 @@
                 store: None,
                 disk: Some(FakeDisk::default()),
                 pending_writes: VecDeque::new(),
+                sync_started: None,
                 applied: Vec::new(),
                 applied_index: 0,
                 is_paused: false,
@@ -173,14 +176,9 @@
 
     /// Crashes a member; `kept` selects how much of its unsynced appends survives, as in [`FakeDisk::crash`].
     pub fn crash(&mut self, id: MemberId, kept: usize) {
+        self.detach_disk(id, kept);
         let member = self.members.get_mut(&id).expect("the member exists");
-        if let Some(store) = member.store.take() {
-            let mut disk = store.into_folder();
-            disk.crash(kept);
-            member.disk = Some(disk);
-        }
         member.stage = Stage::Down;
-        member.pending_writes.clear();
         member.applied.clear();
         member.applied_index = 0;
         member.is_paused = false;
@@ -192,6 +190,18 @@
         self.crash(id, kept);
     }
 
+    /// Drops the pending writes of a member and keeps a part of what its disk has not synced.
+    fn detach_disk(&mut self, id: MemberId, kept: usize) {
+        let member = self.members.get_mut(&id).expect("the member exists");
+        if let Some(store) = member.store.take() {
+            let mut disk = store.into_folder();
+            disk.crash(kept);
+            member.disk = Some(disk);
+        }
+        member.pending_writes.clear();
+        member.sync_started = None;
+    }
+
     /// Crashes a member and replaces its disk by an empty one.
     pub fn wipe(&mut self, id: MemberId) {
         self.crash(id, 0);
@@ -433,11 +443,34 @@
 
     /// Performs the pending writes of a member; crashes it and returns false when its disk fails.
     pub fn sync(&mut self, id: MemberId) -> bool {
+        let count = self.members[&id].pending_writes.len();
+        self.sync_first(id, count)
+    }
+
+    /// Performs the writes of a member whose disk takes `duration` for each sync; writes that wait share the next one.
+    pub fn sync_slowly(&mut self, id: MemberId, duration: Millis) {
+        let now = self.now;
+        let member = self.members.get_mut(&id).expect("the member exists");
+        match member.sync_started {
+            Some((count, started_at)) if now >= started_at + duration => {
+                member.sync_started = None;
+                self.sync_first(id, count);
+            }
+            Some(_) => return,
+            None => {}
+        }
+        let member = self.members.get_mut(&id).expect("the member exists");
+        let count = member.pending_writes.len();
+        member.sync_started = (count > 0).then_some((count, now));
+    }
+
+    /// Performs the first `count` pending writes of a member.
+    fn sync_first(&mut self, id: MemberId, count: usize) -> bool {
         let member = self.members.get_mut(&id).expect("the member exists");
         if member.is_paused {
             return true;
         }
-        let writes: Vec<Write> = member.pending_writes.drain(..).collect();
+        let writes: Vec<Write> = member.pending_writes.drain(..count).collect();
         let Some(last) = writes.last().map(|write| write.seq) else {
             return true;
         };
