Source: an order that is sent again joins its proposal

What operators saw: with slow disks, an order that got no response within a second and was sent again was not confirmed when its first entry was committed, but only once its second one was stored too; by then the operator had given up on that attempt as well.

Change: the operation id of a full configuration is a digest of its content; a repetition that finds the operation proposed waits for the same outcome and adds no entry.

--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -9,6 +9,7 @@
 mod moves;
 mod observer;
 mod operators;
+mod pending;
 mod query;
 mod relays;
 mod response;
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -16,7 +16,7 @@
 use kingcuplift_schema::Message as _;
 use kingcuplift_schema::quorum::{Entry, Peer, Snapshot, Voter, entry, peer};
 use rand::Rng;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
@@ -27,6 +27,7 @@
 use crate::source::members;
 use crate::source::moves::{MOVE_CHECK_INTERVAL, MoveController};
 use crate::source::observer::Observer;
+use crate::source::pending::PendingResponses;
 use crate::source::relays::Relays;
 use crate::source::response::Response;
 use crate::source::writer::{self, Job, StorageReport};
@@ -98,7 +99,7 @@
     pub(crate) catalog: Catalog,
     /// Makes configurations that differ little from the previous one cheap to read.
     pub(crate) canonical_cache: CanonicalCache,
-    pending_responses: HashMap<Token, oneshot::Sender<Response>>,
+    pub(crate) pending_responses: PendingResponses,
     last_token: Token,
     /// Committed entries that are not applied to the catalog yet, with the tokens of their proposals.
     committed: VecDeque<(Entry, Option<Token>)>,
@@ -153,7 +154,7 @@
             moves: MoveController::default(),
             catalog,
             canonical_cache: CanonicalCache::default(),
-            pending_responses: HashMap::new(),
+            pending_responses: PendingResponses::default(),
             last_token: 0,
             committed: VecDeque::new(),
             own_address: None,
@@ -233,19 +234,20 @@
         if let Some(token) = token {
             self.moves.end_step(token);
         }
-        let waiting = token.and_then(|token| self.pending_responses.remove(&token));
-        if let Some(sender) = waiting {
+        for sender in token.map(|token| self.pending_responses.take(token)).unwrap_or_default() {
             // The client may have disconnected; the catalog keeps the outcome for a retry.
-            drop(sender.send(Response::from_outcome(outcome)));
+            drop(sender.send(Response::from_outcome(outcome.clone())));
         }
     }
 
     /// Responds to the operator whose membership change was committed.
     fn respond_to_membership_change(&mut self, token: Option<Token>) {
         self.publish_directory();
-        let waiting = token.and_then(|token| self.pending_responses.remove(&token));
-        let (Some(sender), Stage::Member(replica)) = (waiting, &self.stage) else { return };
-        drop(sender.send(Response::Document(members::list(replica))));
+        let waiting = token.map(|token| self.pending_responses.take(token)).unwrap_or_default();
+        let Stage::Member(replica) = &self.stage else { return };
+        for sender in waiting {
+            drop(sender.send(Response::Document(members::list(replica))));
+        }
     }
 
     /// Returns the current monotonic time.
@@ -261,16 +263,8 @@
 
     /// Registers a pending response and returns its token and future.
     pub(crate) fn register_response(&mut self) -> (Token, ResponseFuture<Response>) {
-        self.next_token();
-        let (sender, receiver) = oneshot::channel();
-        self.pending_responses.insert(self.last_token, sender);
-        let response = Box::pin(async move {
-            receiver.await.unwrap_or_else(|_| {
-                let detail = "the member stopped; send the same request again";
-                Response::problem(ResultCode::LeadershipLost, detail)
-            })
-        });
-        (self.last_token, response)
+        let token = self.next_token();
+        (token, self.pending_responses.register(token))
     }
 
     fn install(&mut self, snapshot: &Snapshot) {
@@ -289,8 +283,7 @@
 
     fn refuse(&mut self, token: Token, refusal: Refusal) {
         self.moves.end_step(token);
-        let Some(sender) = self.pending_responses.remove(&token) else { return };
-        let response = match refusal {
+        let response = || match refusal {
             Refusal::NotLeader => Response::Unready("this member is not the leader; try another"),
             Refusal::Busy => Response::problem(
                 ResultCode::SourceBusy,
@@ -304,7 +297,9 @@
                 "another membership change is in flight; try again later",
             ),
         };
-        drop(sender.send(response));
+        for sender in self.pending_responses.take(token) {
+            drop(sender.send(response()));
+        }
     }
 
     fn handle_notice(&mut self, notice: Notice) {
@@ -474,7 +469,7 @@
         self.relays.disconnect_all();
         self.moves.clear();
         self.hint_local_relay();
-        for (_, sender) in self.pending_responses.drain() {
+        for sender in self.pending_responses.take_all() {
             let detail = "the member's storage has failed; try another member";
             drop(sender.send(Response::Interrupted(detail)));
         }
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -54,7 +54,17 @@
 impl SourceActor {
     /// Proposes a submission and returns its future response.
     pub(crate) fn propose(&mut self, submission: &Submission) -> ResponseFuture<Response> {
+        // The operation id of a full configuration is a digest of its content. An operator that gets no response in time
+        // sends it again; a second entry would be stored only after the first one.
+        let is_repeatable = submission.revision != 0;
+        if is_repeatable && let Some(response) = self.pending_responses.join(&submission.operation)
+        {
+            return response;
+        }
         let (token, response) = self.register_response();
+        if is_repeatable {
+            self.pending_responses.name(token, &submission.operation);
+        }
         let command = submission.encode_to_vec();
         self.step(Input::Propose { token, command });
         response
