--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -86,6 +86,8 @@
     pub(crate) stage: Stage,
     pub(crate) store: Option<Store<DiskFolder>>,
     writer: Option<Sender<Job>>,
+    /// Whether writes fail; a leader goes on without storage for a moment, until it has resigned.
+    has_failed_storage: bool,
     /// Queues of the senders to other members, by address.
     peer_senders: HashMap<String, mpsc::Sender<Box<Peer>>>,
     /// Upstream addresses of the relay in the same process.
@@ -147,6 +149,7 @@
             stage,
             store: Some(store),
             writer: None,
+            has_failed_storage: false,
             peer_senders: HashMap::new(),
             local_relay: None,
             local_voter,
@@ -174,6 +177,7 @@
         if !was_applying && !self.has_applied_all() {
             self.apply_committed();
         }
+        self.leave_unless_leading();
     }
 
     /// Applies committed entries; if they take long, the rest follows after the messages that wait meanwhile.
@@ -203,6 +207,7 @@
             Effect::Save { seq, hard_state, entries, snapshot } => {
                 let job = Job { seq, record: Record { hard_state, entries }, snapshot };
                 match &self.writer {
+                    _ if self.has_failed_storage => {}
                     // A storage thread that takes no more jobs has failed, and its report is on the way.
                     Some(writer) => drop(writer.send(job)),
                     None => self.stage = Stage::Failed(Observer::of(&self.stage)),
@@ -459,10 +464,24 @@
         }
     }
 
-    /// Leaves the group until the data folder is recovered; a leader lets another member take over.
+    /// Leaves the group until the data folder is recovered; a leader lets another member take over first.
     fn suspend(&mut self, error: &StoreError) {
         Event::StorageFailed.emit(&[("reason", error)]);
+        self.has_failed_storage = true;
         self.step(Input::StorageFailed);
+    }
+
+    /// Leaves the group if the storage has failed, unless this member still leads.
+    ///
+    /// What it can't store it must not promise to other members either: messages that depend on a write are never sent.
+    fn leave_unless_leading(&mut self) {
+        match &self.stage {
+            Stage::Member(replica) if replica.role() != RoleName::Leader => {}
+            _ => return,
+        }
+        if !self.has_failed_storage {
+            return;
+        }
         self.stage = Stage::Failed(Observer::of(&self.stage));
         self.writer = None;
         self.committed.clear();
@@ -483,6 +502,7 @@
         };
         let (entries, bytes) = (recovery.restored.entries.len(), recovery.truncated);
         Event::StorageRecovered.emit(&[("entries", &entries), ("truncated", &bytes)]);
+        self.has_failed_storage = false;
         self.catalog = catalog;
         self.last_snapshot_index = 0;
         self.store = Some(store);
@@ -542,7 +562,9 @@
                 }
             }
             (Stage::Member(_), Some(peer::Body::Offer(_))) => self.handle_offer(message),
-            (Stage::Member(_), _) if self.writer.is_some() => self.step(Input::Receive(message)),
+            (Stage::Member(_), _) if self.writer.is_some() || self.has_failed_storage => {
+                self.step(Input::Receive(message));
+            }
             (Stage::Failed(observer), _) => {
                 observer.observe(&message, monotonic_ms());
                 self.hint_local_relay();
@@ -601,6 +623,8 @@
             StorageReport::Failed(error) => self.suspend(&error),
             StorageReport::Recovered(recovered) => {
                 let (store, recovery) = *recovered;
+                // A leader that still waits for entries in flight resigns now.
+                self.step(Input::StorageFailed);
                 self.resume(store, recovery);
                 self.start_writer(ctx);
             }
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -46,7 +46,9 @@
     },
     /// The leader is to transfer leadership before it stops.
     Transfer,
-    /// The member can't store anything any more; a leader stops leading at once.
+    /// The member can't store anything any more; a leader stops leading once the entries in flight are committed.
+    ///
+    /// A leader that hasn't stopped by the time of a second report does so at once.
     StorageFailed,
 }
 
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -15,6 +15,9 @@
 /// A resigning leader's successor has this fraction (1/n) of the election time before others try to be elected.
 const SUCCESSOR_TIME_DIVISOR: u64 = 4;
 
+/// Number of election times for which a leader whose storage has failed waits for the entries in flight.
+const RESIGNATION_ELECTIONS: u64 = 2;
+
 impl Replica {
     /// Starts a pre-vote: asks whether an election could be won, without changing the term.
     pub(crate) fn start_pre_vote(&mut self) {
@@ -152,6 +155,7 @@
             next_heartbeat_at: self.now,
             successor: None,
             transfer_started_at: None,
+            resign_by: None,
         });
         let term = self.hard_state.term;
         self.effects.push(Effect::Report(Notice::Elected { term }));
@@ -179,18 +183,43 @@
             .map(|(id, _)| *id)
     }
 
-    /// Stops leading at once, since this member can't store anything any more.
+    /// Stops leading soon, since this member can't store anything any more.
+    ///
+    /// The others can still commit the entries that it has sent them: it doesn't count its own disk for these.
+    pub(crate) fn prepare_resignation(&mut self) {
+        let longest_wait = RESIGNATION_ELECTIONS * self.timing.election;
+        let Role::Leader(leader) = &mut self.role else { return };
+        leader.resign_by = match leader.resign_by {
+            None => Some(self.now + longest_wait),
+            Some(_) => Some(self.now),
+        };
+        self.resign_if_due();
+    }
+
+    /// Resigns if that was prepared and nothing is in flight any more, or it has taken too long.
+    pub(crate) fn resign_if_due(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let has_committed_all = self.commit_index == self.log.last_index();
+        if leader.resign_by.is_some_and(|at| has_committed_all || self.now >= at) {
+            // Stepping down drops the pending proposals, so answer the committed ones first.
+            self.apply_committed();
+            self.resign();
+        }
+    }
+
+    /// Stops leading at once and asks another member to take over.
     ///
     /// Unlike a transfer, this doesn't wait until the successor has the whole log; if it lacks entries that the others
     /// have, one of these is elected.
-    pub(crate) fn resign(&mut self) {
-        let Some(successor) = self.most_current_voter() else { return };
+    fn resign(&mut self) {
         let term = self.hard_state.term;
-        for id in self.other_voters() {
-            let notice = Resignation { successor: successor.get() };
-            self.send_now(id, peer::Body::Resignation(notice));
+        if let Some(successor) = self.most_current_voter() {
+            for id in self.other_voters() {
+                let notice = Resignation { successor: successor.get() };
+                self.send_now(id, peer::Body::Resignation(notice));
+            }
+            self.effects.push(Effect::Report(Notice::Resigned { term, successor }));
         }
-        self.effects.push(Effect::Report(Notice::Resigned { term, successor }));
         self.become_follower(term, None);
     }
 
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -103,6 +103,8 @@
     pub(crate) successor: Option<MemberId>,
     /// When the transfer started.
     pub(crate) transfer_started_at: Option<Millis>,
+    /// When a leader whose storage has failed resigns at the latest; while set, proposals are refused.
+    pub(crate) resign_by: Option<Millis>,
 }
 
 /// A write that is not synced yet.
@@ -216,7 +218,7 @@
             Event::SnapshotTaken { index, state } => self.on_snapshot_taken(index, state),
             Event::ChangeMembers { token, membership } => self.change_members(token, membership),
             Event::Transfer => self.start_transfer(),
-            Event::StorageFailed => self.resign(),
+            Event::StorageFailed => self.prepare_resignation(),
         }
         self.flush();
         std::mem::take(&mut self.effects)
@@ -388,7 +390,9 @@
         let index = self.log.last_index() + 1;
         let term = self.hard_state.term;
         let refusal = match &mut self.role {
-            Role::Leader(leader) if leader.successor.is_some() => Some(Refusal::NotLeader),
+            Role::Leader(leader) if leader.successor.is_some() || leader.resign_by.is_some() => {
+                Some(Refusal::NotLeader)
+            }
             Role::Leader(leader) if leader.pending_proposals.len() >= MAX_PENDING_PROPOSALS => {
                 Some(Refusal::Busy)
             }
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -34,6 +34,7 @@
             self.send_heartbeats();
             self.continue_transfer();
         }
+        self.resign_if_due();
     }
 
     /// Sends an append request to every member, with the entries that it lacks.
@@ -245,6 +246,7 @@
         }
         self.advance_commit();
         self.continue_transfer();
+        self.resign_if_due();
     }
 
     /// Commits the entries that a majority of voters has stored.
--- a/crates/quorum/tests/resignations.rs
+++ b/crates/quorum/tests/resignations.rs
@@ -51,6 +51,38 @@
     cluster.heal_and_verify();
 }
 
+/// An order whose entry the others could store was interrupted, and waited for an election of three syncs in series.
+#[rstest]
+#[case::failed_sync(DiskFault::Sync)]
+#[case::full_disk(DiskFault::Full)]
+fn entries_in_flight_are_committed(#[case] fault: DiskFault) {
+    let mut cluster = Cluster::with_leader(5, 0, SEED);
+    let leader = cluster.leader().expect("a leader");
+    let rest = others(&cluster, leader);
+    cluster.inject_disk_fault(leader, fault);
+    let token = cluster.propose(leader, b"in flight");
+    rounds(&mut cluster, &[leader], ELECTION_TIMEOUT / 2 / ROUND_MS);
+    let late = cluster.propose(leader, b"too late");
+    assert_eq!(cluster.refused, [late].into(), "new proposals are led to the next leader");
+    rounds(&mut cluster, &rest, 2);
+    assert!(!cluster.refused.contains(&token));
+    assert!(cluster.acknowledged.values().any(|command| command == b"in flight"));
+    assert_ne!(cluster.leader(), Some(leader), "it has resigned");
+    cluster.heal_and_verify();
+}
+
+/// A leader that waits for entries in flight resigns in the end although nobody stores them.
+#[test]
+fn resignation_is_not_put_off() {
+    let mut cluster = Cluster::with_leader(5, 0, SEED);
+    let leader = cluster.leader().expect("a leader");
+    cluster.inject_disk_fault(leader, DiskFault::Full);
+    cluster.propose(leader, b"never stored");
+    rounds(&mut cluster, &[leader], 5 * ELECTION_TIMEOUT / 2 / ROUND_MS);
+    assert_ne!(cluster.leader(), Some(leader));
+    cluster.heal_and_verify();
+}
+
 /// The member that a leader asks to take over may be lost as well; the others don't wait for its election timeout.
 #[test]
 fn lost_successor_is_replaced() {
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -48,6 +48,8 @@
     applied: Vec<Vec<u8>>,
     applied_index: u64,
     is_paused: bool,
+    /// Whether its disk has failed; the member goes on without one until it doesn't lead any more.
+    has_failed_storage: bool,
     clock_offset: Millis,
 }
 
@@ -109,6 +111,7 @@
                 applied: Vec::new(),
                 applied_index: 0,
                 is_paused: false,
+                has_failed_storage: false,
                 clock_offset: number * 7,
             };
             cluster.members.insert(member_id(number), member);
@@ -179,15 +182,20 @@
         self.detach_disk(id, kept);
         let member = self.members.get_mut(&id).expect("the member exists");
         member.stage = Stage::Down;
+        member.has_failed_storage = false;
         member.applied.clear();
         member.applied_index = 0;
         member.is_paused = false;
     }
 
-    /// Tells a member that its storage has failed, and crashes it; `kept` is as in [`Self::crash`].
+    /// Tells a member that its storage has failed; it is down once it doesn't lead any more. `kept` is as in
+    /// [`Self::crash`].
     pub fn fail_storage(&mut self, id: MemberId, kept: usize) {
+        self.detach_disk(id, kept);
+        let member = self.members.get_mut(&id).expect("the member exists");
+        member.has_failed_storage = true;
         self.handle_event(id, Event::StorageFailed);
-        self.crash(id, kept);
+        self.stop_unless_leading(id);
     }
 
     /// Drops the pending writes of a member and keeps a part of what its disk has not synced.
@@ -202,6 +210,16 @@
         member.sync_started = None;
     }
 
+    /// Stops a member whose disk has failed, unless it still leads.
+    fn stop_unless_leading(&mut self, id: MemberId) {
+        let member = &self.members[&id];
+        let is_leader =
+            matches!(&member.stage, Stage::Up(replica) if replica.role() == RoleName::Leader);
+        if member.has_failed_storage && !is_leader {
+            self.crash(id, 0);
+        }
+    }
+
     /// Crashes a member and replaces its disk by an empty one.
     pub fn wipe(&mut self, id: MemberId) {
         self.crash(id, 0);
@@ -509,6 +527,7 @@
         for effect in effects {
             self.perform_effect(id, effect);
         }
+        self.stop_unless_leading(id);
         self.check_linearizable_read(id);
     }
 
@@ -517,7 +536,9 @@
             Effect::Save { seq, hard_state, entries, snapshot } => {
                 let record = Record { hard_state, entries };
                 let member = self.members.get_mut(&id).expect("the member exists");
-                member.pending_writes.push_back(Write { seq, record, snapshot });
+                if !member.has_failed_storage {
+                    member.pending_writes.push_back(Write { seq, record, snapshot });
+                }
             }
             Effect::Send { to, message } => self.send(id, to, message),
             Effect::Apply { entry, token } => self.apply(id, entry, token),
@@ -585,6 +606,9 @@
     pub fn heal_and_verify(&mut self) {
         self.heal();
         for id in self.ids() {
+            if self.members[&id].has_failed_storage {
+                self.crash(id, 0);
+            }
             if matches!(self.members[&id].stage, Stage::Down) {
                 self.restart(id);
             }
