--- a/crates/cli/tests/crashing_requests.rs
+++ b/crates/cli/tests/crashing_requests.rs
@@ -25,14 +25,18 @@
 const LOAD_TIME: Duration = Duration::from_secs(9);
 /// Size of a body that a node does not keep, in bytes.
 const LONG_BODY: usize = 400_000;
+/// Time that a target takes for a call.
+const RESPONSE_DELAY: Duration = Duration::from_millis(20);
 /// Interval between the reports of a target.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a target is down.
 const DOWN_TIME: Duration = Duration::from_millis(300);
 
 fn start_site() -> (PlaintextSite, Vec<ScriptedTarget>) {
-    let delay = Duration::from_millis(20);
-    let behavior = TargetBehavior::CrashOn { text: "/crash ", delay };
+    start_site_with(TargetBehavior::CrashOn { text: "/crash ", delay: RESPONSE_DELAY })
+}
+
+fn start_site_with(behavior: TargetBehavior) -> (PlaintextSite, Vec<ScriptedTarget>) {
     let targets: Vec<_> = (0..TARGETS).map(|_| ScriptedTarget::start(behavior.clone())).collect();
     let site = start_desk_nodes(&targets, &json!({}));
     (site, targets)
@@ -142,20 +146,32 @@
 #[case::read("GET", "/read/crash", "")]
 #[case::booking("POST", "/book/crash", "hall=7")]
 fn crashing_request_is_quarantined(#[case] method: &str, #[case] path: &str, #[case] body: &str) {
-    check_quarantine(|site, number| {
+    check_quarantine(start_site(), |site, number| {
         call(site, number, method, path, &format!("crash-{number}"), body);
     });
 }
 
+/// The loss of the rest of a long response was not recorded, and its first part cleared the request of earlier crashes.
+#[test]
+fn crash_midway_is_quarantined() {
+    let behavior =
+        TargetBehavior::CrashMidway { text: "/crash ", delay: RESPONSE_DELAY, length: LONG_BODY };
+    check_quarantine(start_site_with(behavior), |site, number| {
+        call(site, number, "GET", "/read/crash", &format!("crash-{number}"), "");
+    });
+}
+
 /// A long body is passed on before it is read to its end, in pieces that differ from one time to the next.
 #[test]
 fn crashing_stream_is_quarantined() {
-    check_quarantine(send_chunks);
+    check_quarantine(start_site(), send_chunks);
 }
 
 /// Checks that a request is known soon after it has ended three targets, and that other calls are answered.
-fn check_quarantine(send: impl Fn(&PlaintextSite, usize)) {
-    let (site, targets) = start_site();
+fn check_quarantine(
+    (site, targets): (PlaintextSite, Vec<ScriptedTarget>),
+    send: impl Fn(&PlaintextSite, usize),
+) {
     let is_over = AtomicBool::new(false);
     let (sent, answered) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let started_at = Instant::now();
--- a/crates/daemon/src/node/body.rs
+++ b/crates/daemon/src/node/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of calls and responses: buffered while small, streamed beyond a size limit.
 
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Instant;
@@ -35,9 +36,50 @@
         deadline: Option<Pin<Box<Sleep>>>,
         /// Counts the call as in progress until the body has ended or is dropped.
         call: Option<CallGuard>,
+        /// Bytes that have not been passed on yet, if the length is known.
+        unsent: Option<u64>,
+        /// Is told how the body ended.
+        observer: EndObserver,
     },
 }
 
+/// How a body from a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyEnd {
+    /// The whole body was passed on.
+    Complete,
+    /// The target's connection failed before.
+    Interrupted,
+}
+
+/// Calls a function once when a body has ended; a body that is dropped or takes too long says nothing of its target.
+#[derive(Default)]
+pub(crate) struct EndObserver(Option<Box<dyn FnOnce(BodyEnd)>>);
+
+impl EndObserver {
+    fn add(&mut self, next: impl FnOnce(BodyEnd) + 'static) {
+        let first = self.0.take();
+        self.0 = Some(Box::new(move |end| {
+            if let Some(first) = first {
+                first(end);
+            }
+            next(end);
+        }));
+    }
+
+    fn report(&mut self, end: BodyEnd) {
+        if let Some(observer) = self.0.take() {
+            observer(end);
+        }
+    }
+}
+
+impl fmt::Debug for EndObserver {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("EndObserver").field(&self.0.is_some()).finish()
+    }
+}
+
 /// Reason why a body can't be read.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum BodyError {
@@ -103,6 +145,16 @@
         self
     }
 
+    /// Calls `observer` once the body has been passed on or its source has failed; at once if it is buffered.
+    #[must_use]
+    pub(crate) fn on_end(mut self, observer: impl FnOnce(BodyEnd) + 'static) -> Self {
+        match &mut self {
+            Self::Buffered(_) => observer(BodyEnd::Complete),
+            Self::Streaming { observer: observers, .. } => observers.add(observer),
+        }
+        self
+    }
+
     /// Reads a body completely if it is small; a larger one is returned for streaming.
     pub(crate) async fn read(mut incoming: Incoming, limit: u64) -> Result<Self, BodyError> {
         let length = incoming.size_hint().exact();
@@ -118,6 +170,8 @@
                     length: Some(length),
                     deadline: None,
                     call: None,
+                    unsent: Some(length),
+                    observer: EndObserver::default(),
                 });
             }
             _ => {}
@@ -150,6 +204,8 @@
                     length,
                     deadline: None,
                     call: None,
+                    unsent: length,
+                    observer: EndObserver::default(),
                 });
             }
         }
@@ -160,15 +216,9 @@
     }
 }
 
-impl HttpBody for Body {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.get_mut() {
+impl Body {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Streaming { prefix, rest, remaining, deadline, .. } => {
                 if deadline.as_mut().is_some_and(|sleep| sleep.as_mut().poll(cx).is_ready()) {
@@ -193,6 +243,41 @@
         }
     }
 
+    /// Tells the observer if this was the end of the body.
+    fn observe(&mut self, next: Option<&Result<Frame<Bytes>, BodyError>>) {
+        let Self::Streaming { unsent, observer, .. } = self else { return };
+        match next {
+            None => observer.report(BodyEnd::Complete),
+            Some(Err(BodyError::Interrupted(_))) => observer.report(BodyEnd::Interrupted),
+            Some(Err(BodyError::TooLarge | BodyError::DeadlinePassed)) => {}
+            Some(Ok(frame)) => {
+                // A body of known length is not asked for more once all of it has been passed on.
+                let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+                *unsent = unsent.map(|unsent| unsent.saturating_sub(size));
+                if *unsent == Some(0) {
+                    observer.report(BodyEnd::Complete);
+                }
+            }
+        }
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let body = self.get_mut();
+        let polled = body.poll_next(cx);
+        if let Poll::Ready(next) = &polled {
+            body.observe(next.as_ref());
+        }
+        polled
+    }
+
     fn is_end_stream(&self) -> bool {
         matches!(self, Self::Buffered(None))
     }
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -22,7 +22,7 @@
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
 use crate::metrics;
-use crate::node::body::Body;
+use crate::node::body::{Body, BodyEnd};
 use crate::node::envelope::{Envelope, take_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
 use crate::node::headers::{self, CAPACITY_WAIT, CODE, ENVELOPE, LOAD, strip_hop_by_hop};
@@ -304,12 +304,16 @@
             self.tried.push(candidate.key.clone());
             let copy = call.try_clone();
             let route = call.route.clone();
-            let outcome = attempt(self.worker, candidate, call).await;
+            let mut outcome = attempt(self.worker, candidate, call).await;
             self.record_attempt(candidate, &route, &outcome);
-            if outcome.result.is_ok() {
-                let mut quarantine = self.worker.shared.quarantine();
-                quarantine.record_answer(context.fingerprint, monotonic_ms());
-            }
+            let (shared, fingerprint) = (Arc::clone(&self.worker.shared), context.fingerprint);
+            outcome.result = outcome.result.map(|response| {
+                response.on_end(move |end| {
+                    if end == BodyEnd::Complete {
+                        shared.quarantine().record_answer(fingerprint, monotonic_ms());
+                    }
+                })
+            });
             let disposition = self.decide(&outcome.result, context.fingerprint);
             if disposition == Disposition::Retry {
                 self.log_retry(&context, &candidate.key, &outcome.result);
--- a/crates/daemon/src/node/forward.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -9,7 +9,7 @@
 use kingcuplift_traffic::LoadReport;
 use smol_str::SmolStr;
 
-use crate::node::body::Body;
+use crate::node::body::{Body, BodyEnd};
 use crate::node::headers::{self, HeaderNames, strip_hop_by_hop};
 use crate::node::pool::Pool;
 use crate::node::shared::CallGuard;
@@ -89,6 +89,11 @@
     pub(crate) fn with_guard(self, guard: CallGuard) -> Self {
         Self { body: self.body.with_guard(guard), ..self }
     }
+
+    /// Calls `observer` once the body has been passed on, or its source has failed.
+    pub(crate) fn on_end(self, observer: impl FnOnce(BodyEnd) + 'static) -> Self {
+        Self { body: self.body.on_end(observer), ..self }
+    }
 }
 
 /// Reason why a call has no response from a target.
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -8,14 +8,14 @@
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use kingcuplift_core::{ByteSize, Event, ResultCode, RunState};
+use kingcuplift_core::{ByteSize, CallFingerprint, Event, ResultCode, RunState};
 use kingcuplift_traffic::{CallOutcome, LoadReport, TargetKey};
 use smol_str::SmolStr;
 
 use crate::clock::monotonic_ms;
 use crate::error::StartError;
 use crate::metrics;
-use crate::node::body::Body;
+use crate::node::body::{Body, BodyEnd};
 use crate::node::control::{QUEUE_GRACE, TargetChange, TargetChanged};
 use crate::node::envelope::{Envelope, write_load};
 use crate::node::forward::{self, AttemptOutcome, Call, CallError, TargetResponse};
@@ -144,16 +144,25 @@
         local.losses().record(lost, monotonic_ms());
     }
     match &result {
-        Ok(_) => worker.shared.quarantine().record_answer(fingerprint, monotonic_ms()),
         Err(ResultCode::TargetRefused) => report_down(worker, key, local),
         Err(code) if code.run() == RunState::Unknown => {
-            let now = monotonic_ms();
-            worker.shared.crash_log().record_loss(key, fingerprint, started_ms, now);
-            check_connection(worker, key, local);
+            record_loss(worker, key, local, fingerprint, started_ms);
         }
         _ => {}
     }
     let took = result.is_ok().then_some(elapsed);
+    // A target may end while it sends a long response.
+    let (ended_worker, ended_key, ended) = (worker.clone(), key.clone(), Arc::clone(local));
+    let result = result.map(|response| {
+        response.on_end(move |end| match end {
+            BodyEnd::Complete => {
+                ended_worker.shared.quarantine().record_answer(fingerprint, monotonic_ms());
+            }
+            BodyEnd::Interrupted => {
+                record_loss(&ended_worker, &ended_key, &ended, fingerprint, started_ms);
+            }
+        })
+    });
     AttemptOutcome {
         result: result.map_err(CallError::from),
         load: Some(local.admission.load()),
@@ -161,6 +170,18 @@
     }
 }
 
+/// Records that a target left a call without a complete response, and checks whether it has ended.
+fn record_loss(
+    worker: &Worker,
+    key: &TargetKey,
+    local: &Arc<LocalTarget>,
+    fingerprint: CallFingerprint,
+    started_ms: u64,
+) {
+    worker.shared.crash_log().record_loss(key, fingerprint, started_ms, monotonic_ms());
+    check_connection(worker, key, local);
+}
+
 /// Reports that a target does not accept connections.
 fn report_down(worker: &Worker, key: &TargetKey, local: &LocalTarget) {
     worker.pool.close_idle(local.address);
--- a/crates/testing/src/scripted.rs
+++ b/crates/testing/src/scripted.rs
@@ -47,6 +47,15 @@
         /// Time before each response.
         delay: Duration,
     },
+    /// As `CrashOn`, but ends halfway through a response of this length, in bytes.
+    CrashMidway {
+        /// Text in the head of the request, in lower case.
+        text: &'static str,
+        /// Time before each other response.
+        delay: Duration,
+        /// Length of the response.
+        length: usize,
+    },
     /// Responds with success after a delay, which is a longer one for a request whose head contains `text`.
     SlowOn {
         /// Text in the head of the request, in lower case.
@@ -87,6 +96,8 @@
 pub const PIECE_BYTES: usize = 40_000;
 /// Repetitions of the filler of an endless response that are sent at a time if there is no pause.
 const FILLER_BATCH: usize = 1_024;
+/// Time after the first half of a response until the target ends.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// A request that a [`ScriptedTarget`] received.
 #[derive(Debug, Clone)]
@@ -240,6 +251,15 @@
                 TargetBehavior::CrashOn { text, .. } if head.contains(text) => {
                     return self.crash();
                 }
+                TargetBehavior::CrashMidway { text, length, .. } if head.contains(text) => {
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nx-call: {id}\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n"
+                    );
+                    let sent = stream.write_all(head.as_bytes());
+                    let _sent = sent.and_then(|()| stream.write_all(&vec![b'a'; length / 2]));
+                    std::thread::sleep(CRASH_DELAY);
+                    return self.crash();
+                }
                 TargetBehavior::InPieces { count, pause } => {
                     let length = PIECE_BYTES * count;
                     let head = format!(
@@ -261,7 +281,9 @@
                     let _closed = stream.read(&mut [0]);
                     return self.record_close(index);
                 }
-                TargetBehavior::CrashOn { delay, .. } | TargetBehavior::HangOn { delay, .. } => {
+                TargetBehavior::CrashOn { delay, .. }
+                | TargetBehavior::CrashMidway { delay, .. }
+                | TargetBehavior::HangOn { delay, .. } => {
                     std::thread::sleep(delay);
                     respond(&mut stream, "200 OK", &format!("x-call: {id}\r\nx-seal: s\r\n"))
                 }
