--- a/crates/cli/tests/odd_reports.rs
+++ b/crates/cli/tests/odd_reports.rs
@@ -16,6 +16,22 @@
     request(&site.addresses("node-1").admin, "PUT", "/v1/instances/i-odd", "", body).status
 }
 
+/// A report without a warm-up time ended the care for a cold target.
+#[test]
+fn incomplete_report_is_refused() {
+    let (site, target) = start_desk_site(TargetBehavior::Respond(Duration::ZERO));
+    let complete = json!({ "service": "desk", "address": target.address().to_string(), "zone": "a",
+        "version": "v1", "slots": 4, "state": "ready", "warmup_ms": 0, "sequence": 2, "born": 1_000 });
+    for field in ["service", "address", "version", "slots", "state", "warmup_ms", "sequence"] {
+        let mut body = complete.clone();
+        body.as_object_mut().expect("an object").remove(field);
+        let admin = &site.addresses("node-1").admin;
+        let response = request(admin, "PUT", "/v1/instances/i-1", "", &body.to_string());
+        assert_eq!(response.status, 400, "without {field}");
+    }
+    check_target(&site, &target);
+}
+
 /// Checks that the node has not ended and that the real target is used and can still report.
 fn check_target(site: &PlaintextSite, target: &ScriptedTarget) {
     for sequence in 10..13 {
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -64,8 +64,7 @@
     state: ReportedState,
     /// Increases with each report of one instance.
     sequence: u64,
-    /// Remaining warm-up time of the target, in milliseconds.
-    #[serde(default)]
+    /// Remaining warm-up time of the target, in milliseconds. A report without it says nothing of a cold target's state.
     warmup_ms: f64,
     /// Start time of the target, in milliseconds since the Unix epoch.
     #[serde(default)]
