--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -4,13 +4,13 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use kingcuplift_core::{Fault, Faults, ResultCode, Version};
+use kingcuplift_core::{ByteSize, Fault, Faults, ResultCode, Version};
 use kingcuplift_schema::Message;
 use kingcuplift_schema::quorum as wire;
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::document::{Document, StoredResource};
+use crate::document::{Document, PriorContent, StoredResource, prior_size};
 use crate::patch::{Patch, StagedChanges};
 use crate::resource::{Resource, ResourceKey};
 use crate::revision::Revision;
@@ -18,6 +18,8 @@
 
 /// Number of versions whose patch can be read and that can be used as a base.
 pub const RETAINED_VERSIONS: usize = 10_000;
+/// Memory that the retained versions may take; fewer are retained if they change many resources.
+const RETAINED_VERSIONS_SIZE: ByteSize = ByteSize::mib(8);
 /// Number of submissions whose outcome is retained for resends.
 pub const RETAINED_OUTCOMES: usize = 100_000;
 
@@ -62,7 +64,14 @@
     /// When the leader received the submission, in milliseconds since the Unix epoch.
     pub at_ms: u64,
     /// Previous content of the changed resources.
-    prior: BTreeMap<ResourceKey, Option<StoredResource>>,
+    prior: PriorContent,
+}
+
+impl VersionInfo {
+    /// Returns about how much memory the metadata takes, in bytes.
+    fn size(&self) -> u64 {
+        self.patch.len() as u64 + prior_size(&self.prior)
+    }
 }
 
 /// Outcome retained for resends.
@@ -89,6 +98,8 @@
 pub struct Catalog {
     current: VersionedDocument,
     versions: VecDeque<VersionInfo>,
+    /// Memory that the retained versions take, in bytes.
+    versions_size: u64,
     outcomes: HashMap<String, RecordedOutcome>,
     /// Operation ids in order of application.
     order: VecDeque<String>,
@@ -196,9 +207,11 @@
             .collect();
         let versions: Result<VecDeque<_>, _> =
             state.versions.into_iter().map(decode_version).collect();
+        let versions: VecDeque<VersionInfo> = versions?;
         let mut catalog = Self {
             current: VersionedDocument::restore(Version::new(state.head), resources?),
-            versions: versions?,
+            versions_size: versions.iter().map(VersionInfo::size).sum(),
+            versions,
             revision: Revision { number: state.revision, version: Version::new(state.revised) },
             ..Self::default()
         };
@@ -279,14 +292,11 @@
     fn accept(&mut self, submission: &Submission, staged: StagedChanges) -> Version {
         let version = self.head().next();
         let prior = self.current.commit(version, staged).clone();
-        if self.versions.len() == RETAINED_VERSIONS {
-            self.versions.pop_front();
-        }
         let base = match submission.at_head {
             true => Version::new(version.get() - 1),
             false => Version::new(submission.base),
         };
-        self.versions.push_back(VersionInfo {
+        self.retain(VersionInfo {
             version,
             base,
             patch: submission.patch.clone(),
@@ -301,6 +311,18 @@
         version
     }
 
+    /// Adds a version to the retained ones, and drops the oldest of them while there are too many.
+    fn retain(&mut self, info: VersionInfo) {
+        self.versions_size += info.size();
+        self.versions.push_back(info);
+        while self.versions.len() > 1
+            && (self.versions.len() > RETAINED_VERSIONS
+                || self.versions_size > RETAINED_VERSIONS_SIZE.get())
+        {
+            self.versions_size -= self.versions.pop_front().map_or(0, |dropped| dropped.size());
+        }
+    }
+
     fn record_outcome(&mut self, submission: &Submission, outcome: Outcome) {
         let recorded = RecordedOutcome { content_hash: content_hash(submission), outcome };
         self.insert_outcome(submission.operation.clone(), recorded);
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use kingcuplift_core::{Digest, Version};
+use kingcuplift_core::{ByteSize, Digest, Version};
 use serde_json::{Map, Value};
 use smol_str::SmolStr;
 
@@ -20,6 +20,19 @@
     pub last_changed: Version,
 }
 
+/// Previous content of the resources that a version changed; `None` for those that did not exist.
+pub(crate) type PriorContent = BTreeMap<ResourceKey, Option<StoredResource>>;
+
+/// Memory that a resource takes beside its JSON: its key and validated content.
+const RESOURCE_OVERHEAD: ByteSize = ByteSize::bytes(512);
+
+/// Returns about how much memory previous content takes; the same on all members.
+pub(crate) fn prior_size(prior: &PriorContent) -> u64 {
+    let json_size = |stored: &StoredResource| stored.json.len() as u64;
+    let sizes = prior.values().map(|stored| stored.as_ref().map_or(0, json_size));
+    sizes.map(|size| size + RESOURCE_OVERHEAD.get()).sum()
+}
+
 /// All resources of one version.
 #[derive(Debug, Clone, Default)]
 pub struct Document {
--- a/crates/config/src/versioned_document.rs
+++ b/crates/config/src/versioned_document.rs
@@ -2,23 +2,25 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use kingcuplift_core::{Digest, Faults, ResultCode, Version};
+use kingcuplift_core::{ByteSize, Digest, Faults, ResultCode, Version};
 use kingcuplift_schema::control::{ResourceChange, Update};
 use thiserror::Error;
 
-use crate::document::{Document, StoredResource};
+use crate::document::{Document, PriorContent, StoredResource, prior_size};
 use crate::patch::{StagedChanges, check_consistency};
 use crate::resource::{Kind, Resource, ResourceKey};
 use crate::subscription::Subscription;
 
 /// Number of versions whose changes are retained for receivers that lag behind.
 const RETAINED_CHANGES: usize = 4096;
+/// Memory that these changes may take.
+const RETAINED_SIZE: ByteSize = ByteSize::mib(8);
 
 /// Previous content of the resources that one version changed.
 #[derive(Debug, Clone)]
 struct Change {
     version: Version,
-    prior: BTreeMap<ResourceKey, Option<StoredResource>>,
+    prior: PriorContent,
 }
 
 /// A document at a version, with the most recent changes.
@@ -27,6 +29,8 @@
     document: Document,
     head: Version,
     changes: VecDeque<Change>,
+    /// Memory that the changes take, in bytes.
+    changes_size: u64,
     /// Oldest version from which the changes are still known.
     oldest: Version,
 }
@@ -88,12 +92,8 @@
     }
 
     /// Applies staged changes as `version` and returns the previous content of the changed resources.
-    pub fn commit(
-        &mut self,
-        version: Version,
-        staged: StagedChanges,
-    ) -> &BTreeMap<ResourceKey, Option<StoredResource>> {
-        let prior: BTreeMap<_, _> = staged
+    pub fn commit(&mut self, version: Version, staged: StagedChanges) -> &PriorContent {
+        let prior: PriorContent = staged
             .into_iter()
             .map(|(key, change)| {
                 let before = self.document.replace(&key, change);
@@ -101,14 +101,23 @@
             })
             .collect();
         self.head = version;
-        if self.changes.len() == RETAINED_CHANGES {
-            let dropped = self.changes.pop_front();
-            self.oldest = dropped.map_or(self.oldest, |change| change.version);
-        }
+        self.changes_size += prior_size(&prior);
         self.changes.push_back(Change { version, prior });
+        self.drop_old_changes();
         &self.changes[self.changes.len() - 1].prior
     }
 
+    /// Drops the oldest changes while there are too many, but never the latest one.
+    fn drop_old_changes(&mut self) {
+        while self.changes.len() > 1
+            && (self.changes.len() > RETAINED_CHANGES || self.changes_size > RETAINED_SIZE.get())
+        {
+            let Some(dropped) = self.changes.pop_front() else { return };
+            self.changes_size -= prior_size(&dropped.prior);
+            self.oldest = dropped.version;
+        }
+    }
+
     /// Returns the digest of the resources that `subscription` covers at the head.
     pub fn digest(&self, subscription: &Subscription) -> Digest {
         if *subscription == Subscription::All {
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -7,7 +7,7 @@
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, ResponseFuture};
 use kingcuplift_config::{CanonicalCache, Catalog, Outcome, Submission};
-use kingcuplift_core::{Event, MemberId, NodeName, ResultCode};
+use kingcuplift_core::{ByteSize, Event, MemberId, NodeName, ResultCode};
 use kingcuplift_quorum::{
     DiskFolder, Effect, Event as Input, Formation, Identity, InitialMembers, MembershipController,
     MembershipExt, Millis, Notice, Record, Recovery, Refusal, Replica, Restored, RoleName, Store,
@@ -49,6 +49,8 @@
 const LEADERLESS_ELECTIONS: u64 = 3;
 /// Number of applied entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 10_000;
+/// Size of the applied entries after which a snapshot is taken, even if they are few.
+const SNAPSHOT_INTERVAL_SIZE: ByteSize = ByteSize::mib(16);
 
 /// Lifecycle stage of a member.
 #[derive(Debug)]
@@ -109,6 +111,8 @@
     pub(crate) relays: Relays,
     pub(crate) last_offer_ms: Millis,
     last_snapshot_index: u64,
+    /// Size of the entries applied since the last snapshot, in bytes.
+    applied_size: u64,
     /// Time since which no leader is known.
     leaderless_since: Option<Millis>,
 }
@@ -164,6 +168,7 @@
             relays: Relays::default(),
             last_offer_ms: 0,
             last_snapshot_index: 0,
+            applied_size: 0,
             leaderless_since: None,
         })
     }
@@ -227,6 +232,7 @@
             Some(entry::Body::Membership(_)) => return self.respond_to_membership_change(token),
             _ => return,
         };
+        self.applied_size += command.len() as u64;
         let submission = match Submission::decode(command.as_ref()) {
             Ok(submission) => submission,
             Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
@@ -276,6 +282,7 @@
         match Catalog::decode(&snapshot.state) {
             Ok(catalog) => {
                 self.catalog = catalog;
+                self.applied_size = 0;
                 self.committed.clear();
                 Event::SnapshotInstalled.emit(&[("index", &snapshot.index)]);
             }
@@ -505,6 +512,7 @@
         self.has_failed_storage = false;
         self.catalog = catalog;
         self.last_snapshot_index = 0;
+        self.applied_size = 0;
         self.store = Some(store);
         let restored = recovery.restored;
         self.stage = Stage::restored(self.identity, &self.options, &self.local_voter, restored);
@@ -514,10 +522,13 @@
         let Stage::Member(replica) = &self.stage else { return };
         let start = replica.log().snapshot().index.max(self.last_snapshot_index);
         let index = replica.commit_index();
-        if index < start + SNAPSHOT_INTERVAL_ENTRIES || !self.has_applied_all() {
+        let is_due = index >= start + SNAPSHOT_INTERVAL_ENTRIES
+            || self.applied_size >= SNAPSHOT_INTERVAL_SIZE.get();
+        if !is_due || !self.has_applied_all() {
             return;
         }
         self.last_snapshot_index = index;
+        self.applied_size = 0;
         let state = self.catalog.encode();
         Event::SnapshotWritten.emit(&[("index", &index), ("bytes", &state.len())]);
         self.step(Input::SnapshotTaken { index, state });
