Quorum: elections allow for slow syncs of the last few election timeouts only

Found by reading: the time of a slow sync was halved with each write, so that a disk that had stood still for seconds once made later elections slow as long as nothing was written.

Change: a slow sync counts for five election timeouts. Test: slow_sync_is_forgotten, which fails on the commit before.

--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -21,6 +21,8 @@
 const STAGGER_DIVISOR: u64 = 10;
 /// Syncs in series until a candidate is elected: its own vote, and then those of the others.
 const VOTE_SYNCS: u64 = 2;
+/// Number of election times for which a slow sync is remembered.
+const SYNC_MEMORY_ELECTIONS: u64 = 5;
 /// Elections allow for syncs of up to this number of election times.
 const MAX_SYNC_DELAY_ELECTIONS: u64 = 2;
 /// Number of election times after a start during which failed elections are retried early.
@@ -148,8 +150,8 @@
     pending_writes: VecDeque<PendingWrite>,
     /// Last write with a new term or vote.
     last_vote_seq: WriteSeq,
-    /// Time that recent syncs have taken.
-    sync_delay: Millis,
+    /// Longest time that a recent sync has taken, and when that was.
+    slow_sync: (Millis, Millis),
     rng: SmallRng,
 }
 
@@ -198,7 +200,7 @@
             awaiting_sync: VecDeque::new(),
             pending_writes: VecDeque::new(),
             last_vote_seq: 0,
-            sync_delay: 0,
+            slow_sync: (0, 0),
             rng,
         };
         replica.schedule_early_election();
@@ -427,7 +429,10 @@
 
     fn on_stored(&mut self, seq: WriteSeq) {
         let is_vote_stored = self.is_vote_unsynced() && seq >= self.last_vote_seq;
-        self.sync_delay = self.present_sync_delay().max(self.sync_delay / 2);
+        let delay = self.present_sync_delay();
+        if delay >= self.recent_sync_delay() {
+            self.slow_sync = (delay, self.now);
+        }
         self.synced_seq = self.synced_seq.max(seq);
         while let Some(write) = self.pending_writes.front().copied() {
             if write.seq > seq {
@@ -531,12 +536,21 @@
         self.pending_writes.front().map_or(0, |write| self.now - write.issued_at)
     }
 
+    /// Returns the longest time that a sync has taken of late.
+    fn recent_sync_delay(&self) -> Millis {
+        let (delay, at) = self.slow_sync;
+        match self.now < at + SYNC_MEMORY_ELECTIONS * self.timing.election {
+            true => delay,
+            false => 0,
+        }
+    }
+
     /// Returns how much longer an election takes because of slow disks: the candidate and then its voters store a vote.
     ///
     /// The timeouts themselves leave room for syncs that take up to the stagger of the voters.
     fn election_sync_delay(&self) -> Millis {
         let election = self.timing.election;
-        let delay = self.sync_delay.max(self.present_sync_delay());
+        let delay = self.recent_sync_delay().max(self.present_sync_delay());
         let excess = delay.saturating_sub(election / STAGGER_DIVISOR);
         VOTE_SYNCS * excess.min(MAX_SYNC_DELAY_ELECTIONS * election)
     }
--- a/crates/quorum/tests/slow_syncs.rs
+++ b/crates/quorum/tests/slow_syncs.rs
@@ -81,6 +81,24 @@
     }
 }
 
+/// A disk that has been slow once doesn't make later elections slow.
+#[test]
+fn slow_sync_is_forgotten() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::with_leader(5, 0, seed);
+        let leader = cluster.leader().expect("a leader");
+        cluster.propose(leader, b"slow");
+        rounds(&mut cluster, 3 * ELECTION_TIMEOUT, 8 * ELECTION_TIMEOUT / ROUND_MS);
+        rounds(&mut cluster, 0, 6 * ELECTION_TIMEOUT / ROUND_MS);
+        let leader = cluster.leader().expect("a leader");
+        cluster.crash(leader, 0);
+        let serves = |cluster: &Cluster| current_leader(cluster).is_some();
+        let time = run_until(&mut cluster, 0, 3 * ELECTION_TIMEOUT, serves);
+        assert!(time.is_some(), "seed {seed}: no leader serves after three election timeouts");
+        cluster.heal_and_verify();
+    }
+}
+
 /// The other members ran for election while the successor of a leader whose storage had failed stored its vote.
 #[rstest]
 #[case::half_a_timeout(ELECTION_TIMEOUT / 2)]
