--- a/crates/testing/examples/planned_day.rs
+++ b/crates/testing/examples/planned_day.rs
@@ -34,8 +34,8 @@
     #[argh(option, default = "0.2")]
     node_share: f64,
     /// fraction of the confirmations that are lost
-    #[argh(option, default = "0.0")]
-    loss_rate: f64,
+    #[argh(option, default = "LossRate::default()")]
+    loss_rate: LossRate,
     /// mean time between two stalls of one member, in milliseconds; 0 means none
     #[argh(option, default = "0")]
     stall_interval_ms: u64,
@@ -66,7 +66,7 @@
             idle_routes: arguments.idle_routes,
             member_share: arguments.member_share,
             node_share: arguments.node_share,
-            loss_rate: LossRate::new(arguments.loss_rate),
+            loss_rate: arguments.loss_rate,
             stall_interval: Duration::from_millis(arguments.stall_interval_ms),
             longest_stall: Duration::from_millis(arguments.longest_stall_ms),
             disk_writers: arguments.disk_writers,
@@ -78,6 +78,13 @@
             unconfirmed += usize::from(!order.report.is_confirmed());
             durations.push(order.report.duration);
         }
+        for time in &report.departures {
+            let time = time.map_or("not confirmed".to_owned(), |time| format!("{time:.2?}"));
+            println!("seed {seed} departure: {time}");
+        }
+        for violation in &report.violations {
+            println!("seed {seed} violation: {violation}");
+        }
         if is_slow {
             std::fs::write(arguments.logs.join(format!("planned-day-{seed}.log")), report.logs)?;
         }
--- a/crates/testing/src/operator.rs
+++ b/crates/testing/src/operator.rs
@@ -1,6 +1,7 @@
 //! An operator that sends each order to one member after the other until it is confirmed.
 
 use std::fmt;
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -52,10 +53,21 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct LossRate(f64);
 
-impl LossRate {
-    /// Creates a rate from a fraction between 0 and 1.
-    pub fn new(fraction: f64) -> Self {
-        Self(fraction)
+impl fmt::Display for LossRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for LossRate {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fraction: f64 = text.parse().map_err(|error| format!("{text:?}: {error}"))?;
+        match fraction {
+            0.0..=1.0 => Ok(Self(fraction)),
+            _ => Err(format!("{text:?} is not a fraction between 0 and 1")),
+        }
     }
 }
 
--- a/crates/testing/src/soak/backend.rs
+++ b/crates/testing/src/soak/backend.rs
@@ -5,18 +5,21 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
 use crate::addresses::AddressPool;
-use crate::plaintext_site::request;
+use crate::plaintext_site::{RawResponse, request};
 
 /// Time that a run takes.
 const RUN_TIME: Duration = Duration::from_millis(5);
 /// Interval between reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Sequence number of the report in which a target leaves; the earlier reports stay below it.
+const LEAVING_SEQUENCE: u64 = 1_000_000;
+
 /// Number of runs by call id, over all targets.
 pub(crate) type RunCounts = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -65,17 +68,33 @@
         let sequence = AtomicU64::new(1);
         std::thread::spawn(move || {
             while !backend.is_stopped.load(Ordering::Acquire) {
-                let body = json!({ "service": "desk", "address": backend.address.to_string(),
-                    "zone": "a", "version": "v1", "slots": 8, "state": "ready", "warmup_ms": 0,
-                    "sequence": sequence.fetch_add(1, Ordering::Relaxed), "born": 1_000 });
-                let path = format!("/v1/instances/{}", backend.name);
                 // A lost report is made up for by the next one.
-                drop(request(&admin, "PUT", &path, "", &body.to_string()));
+                drop(backend.report(&admin, "ready", sequence.fetch_add(1, Ordering::Relaxed)));
                 std::thread::sleep(REPORT_INTERVAL);
             }
         });
     }
 
+    /// Reports that the target leaves, until the node confirms it or `limit` is over; returns the time until then.
+    pub(crate) fn report_leaving(&self, admin: &str, limit: Duration) -> Option<Duration> {
+        let started_at = Instant::now();
+        while started_at.elapsed() < limit {
+            if self.report(admin, "leaving", LEAVING_SEQUENCE).status == 200 {
+                return Some(started_at.elapsed());
+            }
+            std::thread::sleep(REPORT_INTERVAL);
+        }
+        None
+    }
+
+    fn report(&self, admin: &str, state: &str, sequence: u64) -> RawResponse {
+        let body = json!({ "service": "desk", "address": self.address.to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "warmup_ms": 0, "sequence": sequence,
+            "born": 1_000 });
+        let path = format!("/v1/instances/{}", self.name);
+        request(admin, "PUT", &path, "", &body.to_string())
+    }
+
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut stream = stream;
--- a/crates/testing/src/soak/planned_day.rs
+++ b/crates/testing/src/soak/planned_day.rs
@@ -19,7 +19,6 @@
 use super::leader_faults::start_callers;
 use super::load::{self, Shared, lock};
 use super::throttle::Throttle;
-
 use crate::operator::{LossRate, Operator, Order, OrderReport};
 use crate::plaintext_site::PlaintextSite;
 
@@ -35,7 +34,10 @@
 const FAULT_TIMES: [f64; 3] = [4.0, 14.0, 24.0];
 /// Time for which a disk refuses writes.
 const FAULT_TIME: Duration = Duration::from_secs(3);
-
+/// Times at which targets say that they leave, in seconds.
+const DEPARTURE_TIMES: [f64; 3] = [6.0, 16.0, 28.0];
+/// Time for which a target tries to say that.
+const DEPARTURE_LIMIT: Duration = Duration::from_secs(4);
 /// Size of one write that loads the disk.
 const LOAD_PIECE: ByteSize = ByteSize::mib(1);
 /// Number of these writes between two syncs.
@@ -88,6 +90,10 @@
 pub struct PlannedDayReport {
     /// Orders in their order.
     pub orders: Vec<PlannedOrder>,
+    /// Time until the node of each target that left has confirmed that; `None` if it has not.
+    pub departures: Vec<Option<Duration>>,
+    /// Violated guarantees of the calls.
+    pub violations: Vec<String>,
     /// Logs of all processes.
     pub logs: String,
 }
@@ -114,7 +120,7 @@
     if !options.stall_interval.is_zero() {
         for number in 1..=options.members {
             let pid = site.process_id(&format!("core-{number}"));
-            let (seed, is_over) = (options.seed ^ pid as u64, Arc::clone(&is_over));
+            let (seed, is_over) = (options.seed ^ number as u64, Arc::clone(&is_over));
             threads.push(std::thread::spawn(move || stall(pid, seed, options, &is_over)));
         }
     }
@@ -127,19 +133,22 @@
     let addresses = (1..=options.members).map(|number| site.operator_address(number)).collect();
     let operator = Operator::new(addresses, options.seed).with_loss_rate(options.loss_rate);
     let nodes: Vec<String> = (1..=options.nodes).map(|number| format!("node-{number}")).collect();
-    let orders = std::thread::scope(|scope| {
+    let (orders, departures) = std::thread::scope(|scope| {
         std::thread::sleep(FIRST_ORDER_DELAY);
         let orders = scope.spawn(|| send_orders(options, operator, &confirmer, origin));
         sleep_until(origin);
         threads.extend(start_callers(&site, &nodes, options.callers, options.seed, &shared));
+        let departures = scope.spawn(|| leave(&site, &backends, origin));
         refuse_writes(&site, &confirmer, origin);
-        orders.join().expect("the operator does not panic")
+        let orders = orders.join().expect("the operator does not panic");
+        (orders, departures.join().expect("the targets do not panic"))
     });
     is_over.store(true, Ordering::Release);
     for thread in threads {
         assert!(thread.join().is_ok(), "a thread of the load panicked");
     }
-    PlannedDayReport { orders, logs: site.logs() }
+    let violations = shared.0.violations();
+    PlannedDayReport { orders, departures, violations, logs: site.logs() }
 }
 
 /// Starts all processes in a random order.
@@ -203,6 +212,18 @@
     }
 }
 
+/// Lets one target after the other say that it leaves, at the planned times; returns how long the confirmations took.
+fn leave(site: &PlaintextSite, targets: &[Backend], origin: Instant) -> Vec<Option<Duration>> {
+    let mut confirmed = Vec::new();
+    // One target at least stays.
+    for (number, time) in (2..=targets.len()).rev().zip(DEPARTURE_TIMES) {
+        sleep_until(origin + Duration::from_secs_f64(time));
+        let admin = &site.addresses(&format!("node-{number}")).admin;
+        confirmed.push(targets[number - 1].report_leaving(admin, DEPARTURE_LIMIT));
+    }
+    confirmed
+}
+
 /// Sends the first configuration at once, and another one at each planned time.
 fn send_orders(
     options: PlannedDayOptions,
