Tests: a submission without an id, confirmed by a failing leader or interrupted

submission_without_id_is_not_redirected expected that a leader whose disk refuses writes interrupts the submission (503, unknown). That it may not redirect is checked where a submission is still interrupted: the followers stand still until it is in the leader's log, the leader does until they have elected another one. Six submissions must get 503, unknown. That a failing leader confirms is a test of its own.

--- a/crates/cli/tests/refused_writes.rs
+++ b/crates/cli/tests/refused_writes.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use kingcuplift_testing::{
-    LeaderFault, LeaderFaultOptions, Operator, Order, OrderKind, PlaintextSite, request,
-    run_leader_faults,
+    LeaderFault, LeaderFaultOptions, Operator, Order, OrderKind, PlaintextSite, RawResponse,
+    request, run_leader_faults,
 };
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -13,6 +13,10 @@
 const REFUSAL_TIME: Duration = Duration::from_secs(3);
 /// Time within which each order must be confirmed while most members run.
 const ORDER_LIMIT: Duration = Duration::from_secs(4);
+/// Number of submissions without an id that are interrupted.
+const INTERRUPTED_SUBMISSIONS: usize = 6;
+/// Time until such a submission has been appended to the leader's log.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(60);
 /// Seed of the operators' choices.
 const SEED: u64 = 37;
 
@@ -66,19 +70,57 @@
     }
 }
 
-/// Without an id of its own, a submission that is sent again is another one; a redirect would lead to a conflict with itself.
+/// Submits a version without an operation id to a member.
+fn submit_without_id(address: &str, base: u64) -> RawResponse {
+    let patch = json!({ "services": { "desk": { "slots": base + 9 } } });
+    let body = json!({ "base": base, "patch": patch }).to_string();
+    request(address, "POST", "/v1/versions", "", &body)
+}
+
+/// A leader whose disk fails interrupted the submission, although the other members could store it.
 #[test]
-fn submission_without_id_is_not_redirected() {
+fn submission_without_id_is_confirmed() {
     let site = PlaintextSite::start(3, &[]);
     assert_eq!(submit(&site, 0), 1);
     let leader = site.wait("a leader", PlaintextSite::leader);
     site.refuse_writes(&format!("core-{leader}"), true);
-    let patch = json!({ "services": { "desk": { "slots": 9 } } });
-    let body = json!({ "base": 1, "patch": patch }).to_string();
-    let address = site.operator_address(leader);
-    let response = request(&address, "POST", "/v1/versions", "", &body);
-    let run = response.json()["run"].clone();
-    assert_eq!((response.status, run), (503, json!("unknown")), "{response:?}");
+    let response = submit_without_id(&site.operator_address(leader), 1);
+    assert_eq!((response.status, response.json()["version"].clone()), (201, json!(2)));
+}
+
+/// Without an id of its own, a submission that is sent again is another one; a redirect would lead to a conflict with itself.
+///
+/// The leader loses the lead while the submission is in flight, and knows the next leader soon after. Whether that is in time for a
+/// redirect depends on the election, so there are several tries.
+#[test]
+fn submission_without_id_is_not_redirected() {
+    let site = PlaintextSite::start(3, &[]);
+    assert_eq!(submit(&site, 0), 1);
+    for _ in 0..INTERRUPTED_SUBMISSIONS {
+        let leader = site.wait("a leader", PlaintextSite::leader);
+        let others: Vec<usize> = (1..=3).filter(|number| *number != leader).collect();
+        let signal = |number: &usize, signal| site.signal(&format!("core-{number}"), signal);
+        let head = site.operator_request("GET", "/v1/versions", "", "").json()["head"].as_u64();
+        others.iter().for_each(|number| signal(number, "-STOP"));
+        let address = site.operator_address(leader);
+        let response = std::thread::scope(|scope| {
+            let response = scope.spawn(|| submit_without_id(&address, head.unwrap_or(0)));
+            std::thread::sleep(IN_FLIGHT_TIME);
+            signal(&leader, "-STOP");
+            others.iter().for_each(|number| signal(number, "-CONT"));
+            site.wait("another leader", |site| {
+                let role = |number: &usize| {
+                    let address = site.operator_address(*number);
+                    request(&address, "GET", "/healthz", "", "").json()["role"].clone()
+                };
+                others.iter().any(|number| role(number) == "leader").then_some(())
+            });
+            signal(&leader, "-CONT");
+            response.join().expect("a response")
+        });
+        let run = response.json()["run"].clone();
+        assert_eq!((response.status, run), (503, json!("unknown")), "{response:?}");
+    }
 }
 
 /// Each fault cost an election timeout and a growing pause of the operator, in sum more than 4 s.
