Node: bytes that arrive without a pause leave turns to other calls and timers

Cause: the runtime counts reads, not bytes. One poll of a connection may read 128 buffers of up to 64 KiB and parse them, which is a third of a million interim responses, before the thread looks at its timers and at other connections. It is the class of fault that held up leaders after a restart: bulk work in one turn of an event loop.

Change: a connection gives way after each 16 KiB that it has read (PacedStream), for targets' and callers' connections and those between nodes.

Failed tries: 64 KiB, or 16 KiB with a task that wakes itself, still took up to 0.97 s: a local task set polls 61 ready tasks before it returns to the runtime, so that a task that wakes itself runs on; yield_now waits until sockets and timers have been looked at.

--- a/crates/cli/tests/endless_answers.rs
+++ b/crates/cli/tests/endless_answers.rs
@@ -1,7 +1,7 @@
 //! Targets in trouble that send bytes without end, in a head or a body, until their caller closes the connection.
 
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kingcuplift_testing::{PlaintextSite, TargetBehavior, request, start_desk_site};
 use rstest::rstest;
@@ -74,3 +74,30 @@
     });
     assert_eq!(next.body, b"body");
 }
+
+/// One connection on which bytes arrived without a pause kept the thread of all calls busy, for over a second at a time.
+#[rstest]
+#[case::interim_responses("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::chunk_size(CHUNKED, "0")]
+#[case::body_in_chunks(CHUNKED, "4\r\nbody\r\n")]
+fn endless_answer_delays_no_others(#[case] start: &'static str, #[case] filler: &'static str) {
+    let pause = Duration::ZERO;
+    let (site, target) = start_desk_site(TargetBehavior::Endless { start, filler, pause });
+    let callers = site.addresses("node-1").callers.clone();
+    let endless_call = std::thread::spawn({
+        let callers = callers.clone();
+        let headers =
+            format!("host: a.example\r\nx-call: c-1\r\nx-left: {}\r\n", TIME_LEFT.as_millis());
+        move || request(&callers, "POST", "/book/1", &headers, "")
+    });
+    site.wait("the call at the target", |_| (!target.requests().is_empty()).then_some(()));
+    let mut longest = Duration::ZERO;
+    while !endless_call.is_finished() {
+        let sent_at = Instant::now();
+        let other =
+            request(&callers, "GET", "/unknown/", "host: none.example\r\nx-call: c-2\r\n", "");
+        assert_eq!(other.status, 404);
+        longest = longest.max(sent_at.elapsed());
+    }
+    assert!(longest < SLACK, "another call took {longest:.2?}");
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod forward;
 mod headers;
+mod paced_stream;
 mod peers;
 mod pool;
 mod probe;
--- a/crates/daemon/src/node/pool.rs
+++ b/crates/daemon/src/node/pool.rs
@@ -16,6 +16,7 @@
 use crate::dial;
 use crate::node::body::Body;
 use crate::node::headers;
+use crate::node::paced_stream::PacedStream;
 
 /// Timeout for opening a connection; the peer is on this VM or in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -162,8 +163,10 @@
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_READ_BUFFER);
-    let (sender, connection) =
-        builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let (sender, connection) = builder
+        .handshake(TokioIo::new(PacedStream::new(stream)))
+        .await
+        .map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} failed: {error}");
--- a/crates/daemon/src/node/server.rs
+++ b/crates/daemon/src/node/server.rs
@@ -21,6 +21,7 @@
 use crate::error::StartError;
 use crate::link::listen;
 use crate::node::body::Body;
+use crate::node::paced_stream::PacedStream;
 use crate::node::pool::Pool;
 use crate::node::shared::NodeShared;
 
@@ -129,7 +130,8 @@
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_size.as_usize().max(MIN_READ_BUFFER))
         .auto_date_header(false);
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection =
+        std::pin::pin!(builder.serve_connection(TokioIo::new(PacedStream::new(stream)), service));
     // A connection that is opened during the shutdown gets one response, which closes it.
     let is_closing = *closing.borrow();
     let ended = tokio::select! {
