--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -53,6 +53,9 @@
     /// folder for the logs of seeds that fail
     #[argh(option)]
     logs: Option<String>,
+    /// keep the logs of seeds that pass, too
+    #[argh(switch)]
+    keep_logs: bool,
 }
 
 fn main() {
@@ -85,12 +88,11 @@
             ..options
         });
         println!("{report}");
-        if report.violations.is_empty() {
-            continue;
-        }
-        failed.push(seed);
         report.violations.iter().take(5).for_each(|text| println!("  {text}"));
-        if let Some(folder) = &arguments.logs {
+        let has_failed = !report.violations.is_empty();
+        failed.extend(has_failed.then_some(seed));
+        if let Some(folder) = arguments.logs.as_ref().filter(|_| has_failed || arguments.keep_logs)
+        {
             let text = format!(
                 "{}\n\n{}\n\n{}",
                 report.violations.join("\n"),
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -134,7 +134,7 @@
     pub injected_faults: Vec<String>,
     /// Violated guarantees.
     pub violations: Vec<String>,
-    /// Logs of all processes, if a guarantee was violated.
+    /// Logs of all processes.
     pub logs: String,
 }
 
@@ -273,7 +273,7 @@
         recovery_time,
         processor_shares,
         injected_faults: soak.injected_faults,
-        logs: if violations.is_empty() { String::new() } else { soak.site.logs() },
+        logs: soak.site.logs(),
         violations,
     }
 }
