Log: refused updates name sender, base, digests and the sender's changes

Event 302 said only that the digest of a version differs. It now names the sender's address, base, version, number of changes, full or not, both digests, and the version and number of resources of the receiver. Event 304 at the sender says what it sent last, and from which of its versions its changes lead to its head.

--- a/crates/config/src/frame.rs
+++ b/crates/config/src/frame.rs
@@ -1,6 +1,8 @@
 //! Encoding of updates, compressed if that is shorter.
 
-use kingcuplift_core::ByteSize;
+use std::fmt;
+
+use kingcuplift_core::{ByteSize, Digest, Version};
 use kingcuplift_schema::Message;
 use kingcuplift_schema::control::{Encoding, Update, UpdateFrame};
 use thiserror::Error;
@@ -23,6 +25,48 @@
     Decode(#[from] prost::DecodeError),
 }
 
+/// Numbers of an update, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpdateSummary {
+    base: Version,
+    version: Version,
+    changes: usize,
+    digest: Option<Digest>,
+    is_full: bool,
+}
+
+impl UpdateSummary {
+    /// Summarizes an update.
+    pub fn of(update: &Update) -> Self {
+        Self {
+            base: Version::new(update.base),
+            version: Version::new(update.version),
+            changes: update.changes.len(),
+            digest: Digest::from_bytes(&update.digest),
+            is_full: update.full,
+        }
+    }
+
+    /// Returns the digest that the receiver's resources have after the update.
+    pub fn digest(&self) -> Option<Digest> {
+        self.digest
+    }
+}
+
+impl fmt::Display for UpdateSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.is_full {
+            true => write!(f, "full update to version {}", self.version)?,
+            false => write!(f, "update from version {} to {}", self.base, self.version)?,
+        }
+        write!(f, ", {} changes", self.changes)?;
+        match self.digest {
+            Some(digest) => write!(f, ", digest {digest}"),
+            None => write!(f, ", no digest"),
+        }
+    }
+}
+
 /// Encodes an update, compressed if that is shorter.
 pub fn encode_update(update: &Update) -> UpdateFrame {
     let body = update.encode_to_vec();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,7 +18,7 @@
     Catalog, CatalogError, Outcome, RETAINED_OUTCOMES, RETAINED_VERSIONS, Submission, VersionInfo,
 };
 pub use document::{Document, StoredResource};
-pub use frame::{FrameError, decode_update, encode_update};
+pub use frame::{FrameError, UpdateSummary, decode_update, encode_update};
 pub use patch::{MAX_PATCH_DEPTH, MAX_PATCH_SIZE, Patch, StagedChanges};
 pub use resource::{
     CALLER_LIMITS, CallerLimits, Kind, MoveSpec, MoveState, Resource, ResourceKey, RouteSpec,
--- a/crates/config/src/versioned_document.rs
+++ b/crates/config/src/versioned_document.rs
@@ -16,9 +16,14 @@
 /// Memory that these changes may take.
 const RETAINED_SIZE: ByteSize = ByteSize::mib(8);
 
-/// Previous content of the resources that one version changed.
+/// Number of changes in the description for the log.
+const LOGGED_CHANGES: usize = 16;
+
+/// Previous content of the resources that a commit or an update changed.
 #[derive(Debug, Clone)]
 struct Change {
+    /// Version before the change; an update may skip some.
+    base: Version,
     version: Version,
     prior: PriorContent,
 }
@@ -61,10 +66,19 @@
     #[error("the update is invalid and was not applied: {0}")]
     Invalid(Faults),
     /// The digest of the updated document differs from the sender's.
-    #[error("the digest of version {version} differs from the sender's; request a snapshot")]
+    #[error(
+        "the digest of version {version} differs from the sender's: {found} of {resources} resources after an update \
+         of those of version {head}; request a snapshot"
+    )]
     Digest {
         /// Version of the update.
         version: Version,
+        /// Version that the receiver holds.
+        head: Version,
+        /// Digest of the receiver's resources with the update applied.
+        found: Digest,
+        /// Number of the receiver's resources without the update.
+        resources: usize,
     },
 }
 
@@ -100,9 +114,9 @@
                 (key, before)
             })
             .collect();
-        self.head = version;
+        let base = std::mem::replace(&mut self.head, version);
         self.changes_size += prior_size(&prior);
-        self.changes.push_back(Change { version, prior });
+        self.changes.push_back(Change { base, version, prior });
         self.drop_old_changes();
         &self.changes[self.changes.len() - 1].prior
     }
@@ -204,7 +218,8 @@
         self.remove_unused_priorities(subscription, &mut staged);
         let digest = self.digest_with(&staged);
         if Digest::from_bytes(&update.digest) != Some(digest) {
-            return Err(UpdateError::Digest { version });
+            let (head, resources) = (self.head, self.document.len());
+            return Err(UpdateError::Digest { version, head, found: digest, resources });
         }
         self.commit(version, staged);
         Ok(ApplyOutcome::Applied)
@@ -294,6 +309,19 @@
         prior
     }
 
+    /// Describes the latest retained changes for the log: the version after each, preceded by that before the first.
+    pub fn describe_changes(&self) -> String {
+        let latest = self.changes.iter().rev().take(LOGGED_CHANGES).rev();
+        let mut text = String::new();
+        for change in latest {
+            if text.is_empty() {
+                text = change.base.to_string();
+            }
+            text.push_str(&format!(" {}", change.version));
+        }
+        text
+    }
+
     /// Adds the changes that a receiver needs because of one changed resource.
     fn add_change(
         &self,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -133,6 +133,8 @@
     UpdateRefused = 302, Warn;
     /// The content digest differs from the sender's; a snapshot was requested.
     DigestMismatch = 303, Warn;
+    /// A receiver refused an update and gets a full one.
+    SnapshotRequested = 304, Warn;
     /// A target announced itself.
     TargetAnnounced = 401, Info;
     /// A target's lease expired without renewal.
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use kingcuplift_config::{Subscription, VersionedDocument, encode_update};
-use kingcuplift_core::{Digest, NodeName, Version, ZoneName};
+use kingcuplift_config::{Subscription, UpdateSummary, VersionedDocument, encode_update};
+use kingcuplift_core::{Digest, Event, NodeName, Version, ZoneName};
 use kingcuplift_schema::control::{
     Beat, Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
 };
@@ -24,8 +24,8 @@
     subscription: Subscription,
     /// Version sent last, or reported on joining; `None` makes the next update a full one.
     sent_version: Option<Version>,
-    /// Digest of the resources after the last update.
-    sent_digest: Option<Digest>,
+    /// Update sent last on this session; its digest is that of the receiver's resources.
+    sent_update: Option<UpdateSummary>,
     /// Position of the target table up to which targets were sent.
     sent_position: Option<u64>,
     /// Revision of the directory sent last.
@@ -40,7 +40,7 @@
 #[derive(Debug, Default)]
 struct FrameCache {
     head: Version,
-    frames: BTreeMap<(Option<Version>, Subscription), (UpdateFrame, Option<Digest>)>,
+    frames: BTreeMap<(Option<Version>, Subscription), (UpdateFrame, UpdateSummary)>,
 }
 
 /// All connected downstream processes.
@@ -83,7 +83,7 @@
             applied: version,
             subscription,
             sent_version,
-            sent_digest: None,
+            sent_update: None,
             sent_position: None,
             sent_directory: 0,
             queued_heartbeat: Some(fresh),
@@ -157,8 +157,9 @@
     }
 
     /// Makes the next update of one process a full one.
-    pub(crate) fn resync(&mut self, session: SessionId) {
+    pub(crate) fn resync(&mut self, session: SessionId, config: &VersionedDocument) {
         if let Some(downstream) = self.sessions.get_mut(&session) {
+            downstream.log_resync(config);
             downstream.sent_version = None;
             downstream.wake.notify_one();
         }
@@ -176,8 +177,8 @@
         // Until there is a configuration, the process keeps the one that it has.
         let has_config = config.head() > Version::default();
         if has_config && downstream.sent_version.is_none_or(|sent| sent < config.head()) {
-            let (frame, digest) = self.cache.frame(downstream, config);
-            downstream.sent_digest = digest;
+            let (frame, summary) = self.cache.frame(downstream, config);
+            downstream.sent_update = Some(summary);
             bodies.push(downward::Body::Update(frame));
             downstream.sent_version = Some(config.head());
         }
@@ -195,6 +196,19 @@
 }
 
 impl Downstream {
+    /// Logs what was sent last to a process that refused it, and from which changes it was made.
+    fn log_resync(&self, config: &VersionedDocument) {
+        let sent = self.sent_update.map(|update| update.to_string()).unwrap_or_default();
+        let changes = config.describe_changes();
+        let fields: [(&str, &dyn std::fmt::Display); 4] = [
+            ("peer", &self.name),
+            ("sent", &sent),
+            ("head", &config.head()),
+            ("changes", &changes),
+        ];
+        Event::SnapshotRequested.emit(&fields);
+    }
+
     /// Returns the targets that have changed since the last call, or all of them on the first.
     fn take_target_update(&mut self, table: &TargetTable) -> Option<TargetUpdate> {
         let full = self.sent_position.is_none();
@@ -220,12 +234,12 @@
 }
 
 impl FrameCache {
-    /// Returns the encoded update from the version sent last to the head, and the digest after it.
+    /// Returns the encoded update from the version sent last to the head, and its numbers.
     fn frame(
         &mut self,
         receiver: &Downstream,
         config: &VersionedDocument,
-    ) -> (UpdateFrame, Option<Digest>) {
+    ) -> (UpdateFrame, UpdateSummary) {
         if self.head != config.head() {
             self.head = config.head();
             self.frames.clear();
@@ -234,10 +248,13 @@
         let key = (receiver.sent_version, subscription.clone());
         let encode = || {
             let update = match receiver.sent_version {
-                Some(version) => config.update_since(version, subscription, receiver.sent_digest),
+                Some(version) => {
+                    let digest = receiver.sent_update.and_then(|update| update.digest());
+                    config.update_since(version, subscription, digest)
+                }
                 None => config.full_update(subscription),
             };
-            (encode_update(&update), Digest::from_bytes(&update.digest))
+            (encode_update(&update), UpdateSummary::of(&update))
         };
         self.frames.entry(key).or_insert_with(encode).clone()
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod options;
 mod problem;
+mod refused_update;
 pub mod relay;
 mod run;
 mod session;
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler};
-use kingcuplift_config::{ApplyOutcome, Subscription, VersionedDocument, decode_update};
+use kingcuplift_config::{ApplyOutcome, Subscription, VersionedDocument};
 use kingcuplift_core::{CallFingerprint, Event, ServiceName, Version};
 use kingcuplift_keys::Role;
 use kingcuplift_schema::control::{
@@ -32,6 +32,7 @@
 use crate::link::Endpoint;
 use crate::metrics;
 use crate::node::shared::NodeShared;
+use crate::refused_update::apply_update;
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
 /// Interval of the checks for expired leases, and for changed losses of local targets.
@@ -61,6 +62,8 @@
     subscription: Subscription,
     upstream: Option<Upstream>,
     relay_sender: Option<mpsc::Sender<Upward>>,
+    /// Address of the relay of the latest link.
+    relay_address: Option<SocketAddr>,
     /// Whether the relay has sent anything on the current link; until then it may still refuse the link.
     is_linked: bool,
     config: VersionedDocument,
@@ -106,6 +109,7 @@
             services,
             upstream: Some(Upstream { endpoint, role, addresses: relay_addresses.clone(), meter }),
             relay_sender: None,
+            relay_address: None,
             is_linked: false,
             config: VersionedDocument::default(),
             table: TargetTable::default(),
@@ -185,14 +189,11 @@
     }
 
     fn apply_update(&mut self, frame: &UpdateFrame) {
-        let applied = decode_update(frame).map_err(|error| error.to_string()).and_then(|update| {
-            self.config.apply(&update, &self.subscription).map_err(|error| error.to_string())
-        });
-        match applied {
+        match apply_update(&mut self.config, frame, &self.subscription) {
             Ok(ApplyOutcome::Applied) => self.publish_view(),
             Ok(ApplyOutcome::Stale) => {}
-            Err(reason) => {
-                Event::UpdateRefused.emit(&[("reason", &reason)]);
+            Err(refused) => {
+                refused.emit(self.relay_address);
                 self.send_to_relay(upward::Body::Resync(true));
             }
         }
@@ -339,7 +340,10 @@
 
     fn handle(&mut self, message: UpstreamEvent, _: &mut Self::Context) {
         match message {
-            UpstreamEvent::Opened(relay_sender) => self.handle_link_opened(relay_sender),
+            UpstreamEvent::Opened(address, relay_sender) => {
+                self.relay_address = Some(address);
+                self.handle_link_opened(relay_sender);
+            }
             UpstreamEvent::Received(body) => self.handle_downward(*body),
             UpstreamEvent::Heartbeat(_) => {}
             UpstreamEvent::Closed => {
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -1,13 +1,12 @@
 //! Actor that connects the source with the nodes of a relay.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message};
-use kingcuplift_config::{
-    ApplyOutcome, Subscription, UpdateError, VersionedDocument, decode_update,
-};
+use kingcuplift_config::{ApplyOutcome, Subscription, VersionedDocument};
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
@@ -23,6 +22,7 @@
 use crate::fanout::{Fanout, SessionId};
 use crate::link::{Endpoint, complete_handshake};
 use crate::metrics;
+use crate::refused_update::apply_update;
 use crate::session::{self, DownstreamMessage, HEARTBEAT_INTERVAL, Join, Joined, Leave, Pull};
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
@@ -60,6 +60,8 @@
     upstream: Option<Upstream>,
     source_addresses: UpstreamAddresses,
     source_sender: Option<mpsc::Sender<Upward>>,
+    /// Address of the source member of the latest link.
+    source_address: Option<SocketAddr>,
     /// Whether the source has sent anything on the current link; until then it may still refuse the link.
     is_linked: bool,
     config: VersionedDocument,
@@ -83,7 +85,7 @@
         name: NodeName,
         zone: ZoneName,
         endpoint: Endpoint,
-        sources: Vec<std::net::SocketAddr>,
+        sources: Vec<SocketAddr>,
         meter: Arc<LinkMeter>,
     ) -> Self {
         let role = Role::Source;
@@ -94,6 +96,7 @@
             upstream: Some(Upstream { endpoint, role, addresses: source_addresses.clone(), meter }),
             source_addresses,
             source_sender: None,
+            source_address: None,
             is_linked: false,
             config: VersionedDocument::default(),
             fanout: Fanout::default(),
@@ -157,17 +160,14 @@
     }
 
     fn apply_update(&mut self, frame: &UpdateFrame) {
-        let applied = decode_update(frame).map_err(|error| error.to_string()).and_then(|update| {
-            self.config.apply(&update, &Subscription::All).map_err(|error| report_refusal(&error))
-        });
-        match applied {
+        match apply_update(&mut self.config, frame, &Subscription::All) {
             Ok(ApplyOutcome::Applied) => {
                 metrics::VERSION.set(i64::try_from(self.config.head().get()).unwrap_or(i64::MAX));
                 self.fanout.wake_all();
             }
             Ok(ApplyOutcome::Stale) => {}
-            Err(reason) => {
-                Event::UpdateRefused.emit(&[("reason", &reason)]);
+            Err(refused) => {
+                refused.emit(self.source_address);
                 self.send_to_source(upward::Body::Resync(true));
             }
         }
@@ -280,14 +280,6 @@
     }
 }
 
-/// Returns the reason why an update was refused; logs a digest mismatch as its own event.
-fn report_refusal(error: &UpdateError) -> String {
-    if let UpdateError::Digest { version } = error {
-        Event::DigestMismatch.emit(&[("version", version)]);
-    }
-    error.to_string()
-}
-
 /// Accepts connections from nodes until the endpoint is closed.
 pub(crate) async fn accept_nodes(endpoint: Endpoint, actor: Addr<RelayActor>) {
     let mut limit = HandshakeLimit::new(monotonic_ms());
@@ -329,7 +321,10 @@
 
     fn handle(&mut self, message: UpstreamEvent, _: &mut Self::Context) {
         match message {
-            UpstreamEvent::Opened(sender) => self.handle_link_opened(sender),
+            UpstreamEvent::Opened(address, sender) => {
+                self.source_address = Some(address);
+                self.handle_link_opened(sender);
+            }
             UpstreamEvent::Received(body) => self.handle_downward(*body),
             UpstreamEvent::Heartbeat(fresh) => {
                 let was_fresh = self.is_fresh();
@@ -349,7 +344,7 @@
 /// Replaces the addresses of the source members after a settings reload.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub(crate) struct UpdateSources(pub(crate) Vec<std::net::SocketAddr>);
+pub(crate) struct UpdateSources(pub(crate) Vec<SocketAddr>);
 
 impl Handler<UpdateSources> for RelayActor {
     type Result = ();
@@ -399,7 +394,7 @@
                 self.queued_freshness.push((session, request.request));
                 self.request_freshness();
             }
-            upward::Body::Resync(_) => self.fanout.resync(session),
+            upward::Body::Resync(_) => self.fanout.resync(session, &self.config),
             upward::Body::Evidence(evidence) => {
                 self.pending_evidence.push_back((monotonic_ms(), evidence));
                 self.send_evidence();
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -147,7 +147,7 @@
                     .push(PendingFreshness { session, request: request.request });
                 self.reply_freshness();
             }
-            upward::Body::Resync(_) => self.relays.fanout.resync(session),
+            upward::Body::Resync(_) => self.relays.fanout.resync(session, self.catalog.current()),
             upward::Body::Evidence(evidence) => self.handle_evidence(&evidence),
             upward::Body::Hello(_) | upward::Body::Applied(_) => {}
         }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -31,8 +31,8 @@
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
 pub(crate) enum UpstreamEvent {
-    /// A link was opened; the first message sent on it must be a hello.
-    Opened(mpsc::Sender<Upward>),
+    /// A link to an address was opened; the first message sent on it must be a hello.
+    Opened(SocketAddr, mpsc::Sender<Upward>),
     /// A message arrived.
     Received(Box<downward::Body>),
     /// A heartbeat arrived, stating whether the upstream process has contact with a current leader.
@@ -210,7 +210,7 @@
         self.meter.set_connection(link.quic_connection().cloned());
         let (send, receive) = link.open_stream().await?;
         let (sender, queue) = mpsc::channel(SEND_QUEUE_CAPACITY);
-        actor.do_send(UpstreamEvent::Opened(sender));
+        actor.do_send(UpstreamEvent::Opened(address, sender));
         let mut reader: Reader<Downward> = Reader::new(receive);
         staleness.link_opened(self.addresses.len(), monotonic_ms());
         let result = tokio::select! {
