Config: updates from a sender that has skipped versions lack no change

What callers saw: after a restart of all processes, nodes that held an older version refused the update of the relay to which they moved (event 302, digest), asked for everything, and had no version in force meanwhile; with 0.1 of a core and 2,200 routes this adds to the read-back.

Cause: VersionedDocument::changes_since took any version between the oldest retained one and the head as known. A relay that goes from 20 to 31 in one update, or gets 31 at once after its start, retains one change with the content before it. A receiver that comes from another relay with version 28 got the difference 20..31, or all resources without any removal: it missed what was added or changed in 21..28 and undone in 29..31, or removed since its version. Class of fault: history that a process does not have, taken for history without changes.

Tests: receiver_between_versions (6 cases) and relay_after_restart failed with "the digest of version 3 (2) differs" on the code before, and pass now; no_update_is_refused (1,500 schedules) failed before, then for split services first.

Why it works: each change keeps the version before it. A full update is a change of unknown extent, so only its two ends are known. A partial update to a copy of all resources lists everything that any skipped version changed, also what was added and removed again; the receiver retains that, and can serve any version in between by the present content of those resources. Everything else gets a full update. Views of nodes get changes for exact versions only.

--- a/crates/config/src/subscription.rs
+++ b/crates/config/src/subscription.rs
@@ -37,7 +37,7 @@
 
     /// Returns whether the subscription covers `resource` at `key`, judged by its content alone.
     ///
-    /// Priorities are covered only through the routes that refer to them; see [`Self::covered_keys`].
+    /// Some resources are covered only through the routes that refer to them; see [`Self::covers_by_reference`].
     pub(crate) fn covers(&self, key: &ResourceKey, resource: &Resource) -> bool {
         match (self, resource) {
             (Self::All, _) | (_, Resource::Zone(_) | Resource::Limits(_)) => true,
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Returns whether the subscription covers the resource at `key` only if a covered route refers to it.
+    pub(crate) fn covers_by_reference(&self, key: &ResourceKey) -> bool {
+        match (self, key.kind) {
+            (Self::All, _) => false,
+            (Self::Services(_), Kind::Priorities) => true,
+            (Self::Services(_), _) => false,
+        }
+    }
+
     /// Returns the keys of all resources of `document` that the subscription covers.
     pub(crate) fn covered_keys(&self, document: &Document) -> BTreeSet<ResourceKey> {
         let Self::Services(services) = self else {
--- a/crates/config/src/versioned_document.rs
+++ b/crates/config/src/versioned_document.rs
@@ -25,7 +25,19 @@
     /// Version before the change; an update may skip some.
     base: Version,
     version: Version,
+    /// Content at `base` of the resources that changed.
     prior: PriorContent,
+    /// Whether `prior` has each resource that any skipped version changed, even if its content is the same again.
+    is_complete: bool,
+}
+
+/// Resources that changed since a version.
+#[derive(Debug)]
+struct ChangesSince<'a> {
+    /// Earlier content by key.
+    prior: BTreeMap<&'a ResourceKey, Option<&'a StoredResource>>,
+    /// Whether `prior` is the content at that version, rather than at one before.
+    is_exact: bool,
 }
 
 /// A document at a version, with the most recent changes.
@@ -36,8 +48,6 @@
     changes: VecDeque<Change>,
     /// Memory that the changes take, in bytes.
     changes_size: u64,
-    /// Oldest version from which the changes are still known.
-    oldest: Version,
 }
 
 /// Outcome of an applied update.
@@ -88,7 +98,7 @@
         head: Version,
         resources: impl IntoIterator<Item = (ResourceKey, StoredResource)>,
     ) -> Self {
-        let mut restored = Self { head, oldest: head, ..Self::default() };
+        let mut restored = Self { head, ..Self::default() };
         for (key, stored) in resources {
             restored.document.replace(&key, Some(stored));
         }
@@ -107,16 +117,27 @@
 
     /// Applies staged changes as `version` and returns the previous content of the changed resources.
     pub fn commit(&mut self, version: Version, staged: StagedChanges) -> &PriorContent {
-        let prior: PriorContent = staged
-            .into_iter()
-            .map(|(key, change)| {
-                let before = self.document.replace(&key, change);
-                (key, before)
-            })
-            .collect();
+        self.replace_content(version, staged, PriorContent::new(), true)
+    }
+
+    /// Applies staged changes as `version` and returns the previous content of the changed resources.
+    ///
+    /// `unchanged` are resources that skipped versions changed, but that have the same content again.
+    fn replace_content(
+        &mut self,
+        version: Version,
+        staged: StagedChanges,
+        unchanged: PriorContent,
+        is_complete: bool,
+    ) -> &PriorContent {
+        let mut prior = unchanged;
+        prior.extend(staged.into_iter().map(|(key, change)| {
+            let before = self.document.replace(&key, change);
+            (key, before)
+        }));
         let base = std::mem::replace(&mut self.head, version);
         self.changes_size += prior_size(&prior);
-        self.changes.push_back(Change { base, version, prior });
+        self.changes.push_back(Change { base, version, prior, is_complete });
         self.drop_old_changes();
         &self.changes[self.changes.len() - 1].prior
     }
@@ -128,7 +149,6 @@
         {
             let Some(dropped) = self.changes.pop_front() else { return };
             self.changes_size -= prior_size(&dropped.prior);
-            self.oldest = dropped.version;
         }
     }
 
@@ -157,16 +177,13 @@
         subscription: &Subscription,
         digest: Option<Digest>,
     ) -> Update {
-        let Some(changes) = self.changes_since(from) else {
-            return self.full_update(subscription);
+        let since = match self.find_changes(from) {
+            Some(since) if since.prior.len() <= self.document.len() => since,
+            _ => return self.full_update(subscription),
         };
-        let prior: Vec<_> = changes.collect();
-        if prior.len() > self.document.len() {
-            return self.full_update(subscription);
-        }
         let mut changes = BTreeMap::new();
-        for (key, before) in prior {
-            self.add_change(key, before, subscription, &mut changes);
+        for key in since.prior.keys() {
+            self.add_change(key, &since, subscription, &mut changes);
         }
         let known = digest.filter(|_| changes.is_empty());
         let digest = known.unwrap_or_else(|| self.digest(subscription));
@@ -215,13 +232,14 @@
         if !faults.is_empty() {
             return Err(UpdateError::Invalid(faults));
         }
-        self.remove_unused_priorities(subscription, &mut staged);
+        self.remove_unreferenced(subscription, &mut staged);
         let digest = self.digest_with(&staged);
         if Digest::from_bytes(&update.digest) != Some(digest) {
             let (head, resources) = (self.head, self.document.len());
             return Err(UpdateError::Digest { version, head, found: digest, resources });
         }
-        self.commit(version, staged);
+        let unchanged = self.unchanged_content(update, &staged);
+        self.replace_content(version, staged, unchanged, !update.full);
         Ok(ApplyOutcome::Applied)
     }
 
@@ -247,8 +265,20 @@
         faults.into_result(staged).map_err(UpdateError::Invalid)
     }
 
-    /// Removes priorities that no route refers to after the staged changes.
-    fn remove_unused_priorities(&self, subscription: &Subscription, staged: &mut StagedChanges) {
+    /// Returns the content of the resources that an update lists, but that have the same content already.
+    fn unchanged_content(&self, update: &Update, staged: &StagedChanges) -> PriorContent {
+        let keys = update.changes.iter().filter_map(|change| change.key.parse().ok());
+        let unchanged = keys.filter(|key| !staged.contains_key(key));
+        unchanged
+            .map(|key: ResourceKey| {
+                let stored = self.document.get(&key).cloned();
+                (key, stored)
+            })
+            .collect()
+    }
+
+    /// Removes what the subscription covers only through routes, and no route refers to after the staged changes.
+    fn remove_unreferenced(&self, subscription: &Subscription, staged: &mut StagedChanges) {
         if *subscription == Subscription::All {
             return;
         }
@@ -259,8 +289,9 @@
         let unused: Vec<ResourceKey> = self
             .document
             .keys_of(Kind::Priorities)
-            .chain(staged.keys().filter(|key| key.kind == Kind::Priorities))
-            .filter(|key| !used.contains(*key))
+            .chain(self.document.keys_of(Kind::Services))
+            .chain(staged.keys())
+            .filter(|key| subscription.covers_by_reference(key) && !used.contains(*key))
             .filter(|key| self.document.referrers(key).all(|route| staged.contains_key(route)))
             .cloned()
             .collect();
@@ -287,26 +318,30 @@
         digest
     }
 
-    /// Returns each resource changed since `from` with its content at `from`, or `None` if the changes since then are
-    /// no longer retained.
+    /// Returns each resource changed since `from` with its content at `from`, or `None` if that is not known: the changes
+    /// are no longer retained, or `from` is a version that this copy has skipped.
     pub fn changes_since(
         &self,
         from: Version,
     ) -> Option<impl Iterator<Item = (&ResourceKey, Option<&StoredResource>)>> {
-        let known = from >= self.oldest && from <= self.head;
-        known.then(|| self.previous_content_since(from).into_iter())
+        let since = self.find_changes(from).filter(|since| since.is_exact)?;
+        Some(since.prior.into_iter())
     }
 
-    /// Returns, for each resource changed since `from`, its content at `from`.
-    fn previous_content_since(
-        &self,
-        from: Version,
-    ) -> BTreeMap<&ResourceKey, Option<&StoredResource>> {
+    /// Returns the changes since `from`, or `None` if a resource that changed since could be missing.
+    fn find_changes(&self, from: Version) -> Option<ChangesSince<'_>> {
+        let first = self.changes.partition_point(|change| change.version <= from);
+        let is_exact = match self.changes.get(first) {
+            None if from == self.head => true,
+            Some(change) if change.base == from => true,
+            Some(change) if change.base < from && change.is_complete => false,
+            _ => return None,
+        };
         let mut prior = BTreeMap::new();
-        for change in self.changes.iter().rev().take_while(|change| change.version > from) {
+        for change in self.changes.range(first..).rev() {
             prior.extend(change.prior.iter().map(|(key, before)| (key, before.as_ref())));
         }
-        prior
+        Some(ChangesSince { prior, is_exact })
     }
 
     /// Describes the latest retained changes for the log: the version after each, preceded by that before the first.
@@ -326,43 +361,56 @@
     fn add_change(
         &self,
         key: &ResourceKey,
-        before: Option<&StoredResource>,
+        since: &ChangesSince<'_>,
         subscription: &Subscription,
         changes: &mut BTreeMap<ResourceKey, Option<String>>,
     ) {
-        let current = self.document.get(key);
-        let covered = |stored: &StoredResource| match stored.resource {
-            Resource::Priority(_) => self.is_priority_used(key, subscription),
-            ref resource => subscription.covers(key, resource),
-        };
-        match current {
-            Some(stored) if covered(stored) => {
-                let references = stored.resource.references();
-                let partial = *subscription != Subscription::All;
-                for target in
-                    references.into_iter().filter(|t| partial && t.kind == Kind::Priorities)
-                {
-                    let json = self.document.get(&target).map(|s| s.json.to_string());
-                    changes.insert(target, json);
-                }
-                changes.insert(key.clone(), Some(stored.json.to_string()));
-            }
-            _ if before.is_some_and(|stored| subscription.covers(key, &stored.resource)) => {
+        let Some(stored) = self.document.get(key).filter(|s| self.covers(subscription, key, s))
+        else {
+            if self.may_hold(key, since, subscription) {
                 changes.insert(key.clone(), None);
             }
-            _ => {}
+            return;
+        };
+        let references = stored.resource.references().into_iter();
+        for referenced in references.filter(|key| subscription.covers_by_reference(key)) {
+            let json = self.document.get(&referenced).map(|s| s.json.to_string());
+            changes.insert(referenced, json);
         }
+        changes.insert(key.clone(), Some(stored.json.to_string()));
     }
 
-    /// Returns whether a route that the subscription covers refers to the priority.
-    fn is_priority_used(&self, key: &ResourceKey, subscription: &Subscription) -> bool {
-        let Subscription::Services(_) = subscription else {
-            return true;
-        };
-        self.document
-            .referrers(key)
-            .filter_map(|route| Some((route, self.document.get(route)?)))
-            .any(|(route, stored)| subscription.covers(route, &stored.resource))
+    /// Returns whether the subscription covers a resource of this document.
+    fn covers(
+        &self,
+        subscription: &Subscription,
+        key: &ResourceKey,
+        stored: &StoredResource,
+    ) -> bool {
+        match subscription.covers_by_reference(key) {
+            false => subscription.covers(key, &stored.resource),
+            true => self
+                .document
+                .referrers(key)
+                .filter_map(|route| Some((route, self.document.get(route)?)))
+                .any(|(route, stored)| subscription.covers(route, &stored.resource)),
+        }
+    }
+
+    /// Returns whether a receiver may hold a changed resource that its subscription does not cover any more.
+    ///
+    /// Receivers themselves remove what no route refers to. Receivers of all resources need to know of all changes, also
+    /// of a resource that was added and removed again, since they may be senders themselves.
+    fn may_hold(
+        &self,
+        key: &ResourceKey,
+        since: &ChangesSince<'_>,
+        subscription: &Subscription,
+    ) -> bool {
+        let before = since.prior.get(key).copied().flatten();
+        *subscription == Subscription::All
+            || !since.is_exact
+            || before.is_some_and(|stored| subscription.covers(key, &stored.resource))
     }
 }
 
