Config: partial subscriptions follow the services to which routes split calls

What callers saw: a node with a list of services held stale settings of the other services to which its routes split calls, or refused the update (event 302: digest, or a reference that does not exist) and asked for everything each time.

Cause: full updates and digests contain all that covered routes refer to; changes were judged by the resource alone, except for priorities. A changed, added or dropped other service was not sent, and never removed by the receiver. Class of fault: one rule (what a subscription covers) written twice, for full and for partial updates.

Evidence: split_over_services: other_service_joins failed with "services/s2 does not exist", other_service_leaves with a digest that differs, other_service_changes kept the old content without any refusal: the sender reused the digest of the last update, as it had nothing to send. no_update_is_refused (1,500 schedules) failed.

--- a/crates/config/src/subscription.rs
+++ b/crates/config/src/subscription.rs
@@ -56,6 +56,9 @@
         match (self, key.kind) {
             (Self::All, _) => false,
             (Self::Services(_), Kind::Priorities) => true,
+            (Self::Services(services), Kind::Services) => {
+                !services.iter().any(|service| service.as_str() == key.name)
+            }
             (Self::Services(_), _) => false,
         }
     }
--- a/crates/config/tests/skipped_versions.rs
+++ b/crates/config/tests/skipped_versions.rs
@@ -144,6 +144,15 @@
                 "priority": p.map(|p| format!("p{p}")),
             } }
         })),
+        3 => (0..5_u8, 0..4_u8, 0..4_u8).prop_map(|(r, a, b)| json!({
+            "routes": { format!("r{r}"): {
+                "host": format!("h{r}"), "service": null, "priority": null,
+                "split": [
+                    { "service": format!("s{a}"), "weight": 1 },
+                    { "service": format!("s{b}"), "weight": 2 },
+                ],
+            } }
+        })),
         4 => (0..5_u8).prop_map(|r| json!({ "routes": { format!("r{r}"): null } })),
         1 => (0..2_u8, 0..3_u8).prop_map(|(p, rank)| json!({
             "priorities": { format!("p{p}"): { "rank": rank } }
@@ -320,3 +329,27 @@
     }
     assert_eq!(mesh.receivers[0].document.head(), Version::new(2));
 }
+
+// Services to which covered routes split their calls were in the digest, but not in the changes.
+#[rstest]
+#[case::other_service_changes(json!({ "services": { "s1": { "slots": 3 } } }))]
+#[case::other_service_leaves(json!({
+    "routes": { "r0": { "host": "old", "service": "s0", "split": null } },
+}))]
+#[case::other_service_joins(json!({ "routes": { "r0": { "split": [
+    { "service": "s0", "weight": 1 }, { "service": "s1", "weight": 1 }, { "service": "s2", "weight": 1 },
+] } } }))]
+fn split_over_services(#[case] change: Value) {
+    let mut mesh = Mesh::new(&[vec![0]]);
+    let split = json!([{ "service": "s0", "weight": 1 }, { "service": "s1", "weight": 1 }]);
+    mesh.submit(&json!({
+        "services": { "s0": {}, "s1": {}, "s2": {} },
+        "routes": { "r0": { "host": "old", "split": split } },
+    }));
+    mesh.submit(&change);
+    let update = [Step::Apply(0, 1), Step::Relay(0), Step::Deliver(0)];
+    for step in update.iter().chain(&update) {
+        mesh.run(step);
+    }
+    assert_eq!(mesh.receivers[0].document.head(), Version::new(2));
+}
