Traffic: other content of the same version is put in force

Cause: a node whose digest differs from its relay's at the same version gets a full update and applies it, but the view that calls use was updated with the changes since its version, of which there are none, and kept the old routes. Class of fault: a version number taken for the content.

Evidence: same_version_replaced failed on the code before and passes now; incremental_update_equals_rebuild passes.

Why it works: the view keeps the digest of its configuration, and is built anew if that differs at the same version.

--- a/crates/traffic/src/view.rs
+++ b/crates/traffic/src/view.rs
@@ -9,7 +9,7 @@
     CALLER_LIMITS, CallerLimits, Document, Kind, MoveState, Resource, ResourceKey, ServiceSpec,
     StoredResource, VersionedDocument, ZoneState,
 };
-use kingcuplift_core::{Share, Version};
+use kingcuplift_core::{Digest, Share, Version};
 use kingcuplift_schema::control::{Target, TargetState};
 use rand::Rng;
 use smol_str::SmolStr;
@@ -77,6 +77,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RoutingView {
     version: Version,
+    /// Digest of the configuration; a sender with other content of the same version replaces it.
+    digest: Digest,
     router: Router,
     limits: CallerLimits,
     services: imbl::HashMap<SmolStr, Arc<ServiceView>>,
@@ -121,7 +123,8 @@
     ) {
         let document = config.document();
         let mut affected = Affected::default();
-        match config.changes_since(self.version) {
+        let is_replaced = self.version == config.head() && self.digest != document.digest();
+        match config.changes_since(self.version).filter(|_| !is_replaced) {
             Some(changes) => {
                 for (key, before) in changes {
                     affected.add(document, key, before);
@@ -146,6 +149,7 @@
             self.limits = caller_limits(document);
         }
         self.version = config.head();
+        self.digest = document.digest();
     }
 
     fn refresh_service(&mut self, document: &Document, table: &TargetTable, name: &SmolStr) {
--- a/crates/traffic/tests/view_updates.rs
+++ b/crates/traffic/tests/view_updates.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use kingcuplift_config::{Catalog, Submission};
+use kingcuplift_config::{ApplyOutcome, Catalog, Submission, Subscription};
 use kingcuplift_schema::control::{Target, TargetState};
 use kingcuplift_traffic::{MergeResult, Router, RoutingView, TargetTable};
 use proptest::prelude::*;
@@ -160,3 +160,29 @@
     assert_eq!(find("/ab").as_deref(), Some("all"));
     assert_eq!(router.find("x", "/a"), None);
 }
+
+/// Returns a catalog with one route, at version 1.
+fn catalog_with_route(prefix: &str) -> Catalog {
+    let mut catalog = Catalog::default();
+    let route = json!({ "host": "h", "prefix": prefix, "service": "s0" });
+    let patch = json!({ "services": { "s0": {} }, "routes": { "r0": route } });
+    let submission =
+        Submission { patch: patch.to_string(), at_head: true, ..Submission::default() };
+    catalog.apply(&submission);
+    catalog
+}
+
+// A full update with other content of the same version reached the document, but not the view that calls use.
+#[test]
+fn same_version_replaced() {
+    let (old, new) = (catalog_with_route("/old"), catalog_with_route("/new"));
+    let (table, changed) = (TargetTable::default(), BTreeSet::new());
+    let mut document = old.current().clone();
+    let mut view = RoutingView::default();
+    view.update(&document, &table, &changed);
+    let update = new.current().full_update(&Subscription::All);
+    let outcome = document.apply(&update, &Subscription::All).expect("the update is valid");
+    assert_eq!(outcome, ApplyOutcome::Applied);
+    view.update(&document, &table, &changed);
+    assert_eq!(view.router(), &Router::new(new.current().document()));
+}
