Soak: quotas count the processor time of all threads

The limit on a process read the time of its main thread alone, so that the storage thread, and any other, ran without a limit. It reads the clock of the whole process now (nix, as rustix has no such clock), which also keeps the time of threads that have ended.

--- a/crates/testing/src/soak/throttle.rs
+++ b/crates/testing/src/soak/throttle.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use nix::time::{ClockId, clock_getcpuclockid};
+use nix::unistd;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::soak::load::lock;
@@ -73,12 +75,10 @@
     }
 }
 
-/// Returns the processor time that a process has used; zero once it has ended.
+/// Returns the processor time that all threads of a process have used, also those that have ended; zero once the process has.
 fn processor_time(pid: Pid) -> Duration {
-    let path = format!("/proc/{}/schedstat", pid.as_raw_nonzero());
-    let text = std::fs::read_to_string(path).unwrap_or_default();
-    let nanos = text.split_whitespace().next().and_then(|nanos| nanos.parse().ok());
-    Duration::from_nanos(nanos.unwrap_or(0))
+    let clock = clock_getcpuclockid(unistd::Pid::from_raw(pid.as_raw_nonzero().get()));
+    clock.and_then(ClockId::now).map(Duration::from).unwrap_or_default()
 }
 
 /// Returns the share of a processor that a process has used within `time`.
