Source: events and a metric for work that blocks the event loop

Reports of elections without a fault could not be explained from logs: neither why a leader stepped down, nor what its thread did meanwhile. LeaderStepped now names the reason and for how long no majority had answered; ElectionStarted (118) says for how long no leader was heard, and by how much the member itself was late to notice; LoopBlocked (119) names a piece of work that took 200 ms or more, at most twice a second; kingcuplift_work_seconds_total counts the processor time by kind of work.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -115,6 +115,10 @@
     MoveStepped = 116, Info;
     /// A leader whose storage has failed asked another member to take over.
     LeaderResigned = 117, Warn;
+    /// A member has heard of no leader for too long and starts an election.
+    ElectionStarted = 118, Info;
+    /// One piece of work kept the event loop from everything else.
+    LoopBlocked = 119, Warn;
     /// A connection to a peer was established.
     LinkOpened = 201, Info;
     /// A connection to a peer ended.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod run;
 mod session;
 pub mod source;
+mod turns;
 mod upstream;
 
 pub use error::StartError;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 
 use actix_web::HttpResponse;
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    CounterVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::upstream::LinkMeter;
 
@@ -56,6 +58,14 @@
     gauge
 });
 
+/// Processor time of the event loop by kind of work, in seconds.
+pub(crate) static WORK_TIME: LazyLock<CounterVec> = LazyLock::new(|| {
+    let opts = Opts::new("kingcuplift_work_seconds_total", "Processor time by kind of work.");
+    let counter = CounterVec::new(opts, &["work"]).expect("the options are constant and valid");
+    register(counter.clone());
+    counter
+});
+
 /// Meters of the links to upstream processes.
 static CONTROL_LINKS: Mutex<Vec<Arc<LinkMeter>>> = Mutex::new(Vec::new());
 
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -24,6 +24,7 @@
 use crate::link::{Endpoint, complete_handshake};
 use crate::metrics;
 use crate::session::{self, DownstreamMessage, HEARTBEAT_INTERVAL, Join, Joined, Leave, Pull};
+use crate::turns::{Work, measure};
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
 /// Minimum time between two sends to one node.
@@ -144,7 +145,7 @@
     fn handle_downward(&mut self, body: downward::Body) {
         self.is_linked = true;
         match body {
-            downward::Body::Update(frame) => self.apply_update(&frame),
+            downward::Body::Update(frame) => measure(Work::Update, || self.apply_update(&frame)),
             downward::Body::Targets(update) => self.merge_targets(update.targets),
             downward::Body::Freshness(reply) => self.handle_freshness_reply(reply),
             downward::Body::Directory(directory) => {
@@ -364,13 +365,10 @@
 
     fn handle(&mut self, join: Join, _: &mut Self::Context) -> Self::Result {
         let identity = join.identity;
-        let (session, wake) = self.fanout.join(
-            identity.name,
-            identity.zone,
-            &join.hello,
-            &self.config,
-            self.is_fresh(),
-        );
+        let fresh = self.is_fresh();
+        let (session, wake) = measure(Work::Join, || {
+            self.fanout.join(identity.name, identity.zone, &join.hello, &self.config, fresh)
+        });
         Ok(Joined { session, wake })
     }
 }
@@ -379,7 +377,7 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        self.fanout.pull(pull.0, &self.config, self.targets.table())
+        measure(Work::Encode, || self.fanout.pull(pull.0, &self.config, self.targets.table()))
     }
 }
 
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -31,6 +31,7 @@
 use crate::source::relays::Relays;
 use crate::source::response::Response;
 use crate::source::writer::{self, Job, StorageReport};
+use crate::turns::{Work, measure};
 use crate::upstream::UpstreamAddresses;
 
 /// Ticks of the replica per election timeout.
@@ -233,11 +234,11 @@
             _ => return,
         };
         self.applied_size += command.len() as u64;
-        let submission = match Submission::decode(command.as_ref()) {
+        let submission = match measure(Work::Apply, || Submission::decode(command.as_ref())) {
             Ok(submission) => submission,
             Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
         };
-        let outcome = self.catalog.apply(&submission);
+        let outcome = measure(Work::Apply, || self.catalog.apply(&submission));
         // Only the leader has tokens. Entries of earlier terms have none; their outcomes were logged before.
         if token.is_some() {
             log_outcome(&submission, &outcome);
@@ -279,7 +280,7 @@
     }
 
     fn install(&mut self, snapshot: &Snapshot) {
-        match Catalog::decode(&snapshot.state) {
+        match measure(Work::Snapshot, || Catalog::decode(&snapshot.state)) {
             Ok(catalog) => {
                 self.catalog = catalog;
                 self.applied_size = 0;
@@ -320,8 +321,23 @@
             Notice::Elected { term } => {
                 Event::LeaderElected.emit(&[("member", &member), ("term", &term)]);
             }
-            Notice::SteppedDown { term } => {
-                Event::LeaderStepped.emit(&[("member", &member), ("term", &term)]);
+            Notice::ElectionStarted { term, silent_ms, late_ms } => {
+                let fields: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("member", &member),
+                    ("term", &term),
+                    ("silent_ms", &silent_ms),
+                    ("late_ms", &late_ms),
+                ];
+                return Event::ElectionStarted.emit(&fields);
+            }
+            Notice::SteppedDown { term, reason, silent_ms } => {
+                let fields: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("member", &member),
+                    ("term", &term),
+                    ("reason", &reason),
+                    ("silent_ms", &silent_ms),
+                ];
+                Event::LeaderStepped.emit(&fields);
                 self.relays.disconnect_all();
                 self.moves.clear();
             }
@@ -529,7 +545,7 @@
         }
         self.last_snapshot_index = index;
         self.applied_size = 0;
-        let state = self.catalog.encode();
+        let state = measure(Work::Snapshot, || self.catalog.encode());
         Event::SnapshotWritten.emit(&[("index", &index), ("bytes", &state.len())]);
         self.step(Input::SnapshotTaken { index, state });
     }
@@ -574,7 +590,7 @@
             }
             (Stage::Member(_), Some(peer::Body::Offer(_))) => self.handle_offer(message),
             (Stage::Member(_), _) if self.writer.is_some() || self.has_failed_storage => {
-                self.step(Input::Receive(message));
+                measure(Work::Replicate, || self.step(Input::Receive(message)));
             }
             (Stage::Failed(observer), _) => {
                 observer.observe(&message, monotonic_ms());
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -15,6 +15,7 @@
 };
 use crate::source::query::QueryContext;
 use crate::source::response::Response;
+use crate::turns::{Work, measure};
 
 impl Handler<Submit> for SourceActor {
     type Result = ResponseFuture<Response>;
@@ -43,7 +44,7 @@
         if let Some(response) = self.reject_unless_leader() {
             return Box::pin(async move { response });
         }
-        let submission = match self.check_revision(&message) {
+        let submission = match measure(Work::Check, || self.check_revision(&message)) {
             Ok(submission) => submission,
             Err(outcome) => return Box::pin(async move { Response::from_outcome(outcome) }),
         };
@@ -149,7 +150,7 @@
         };
         match self.reject_unless_leader() {
             Some(response) => response,
-            None => context.run(&message.0),
+            None => measure(Work::Query, || context.run(&message.0)),
         }
     }
 }
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -12,6 +12,7 @@
 use crate::fanout::{Fanout, SessionId};
 use crate::session::{DownstreamMessage, Join, Joined, Leave, Pull};
 use crate::source::actor::{SourceActor, Stage};
+use crate::turns::{Work, measure};
 
 /// Time after which a relay retries while no leader is known, in milliseconds.
 const REDIRECT_RETRY_MS: u64 = 200;
@@ -116,8 +117,9 @@
         self.relays.seen_names.insert(identity.name.clone());
         let fresh = self.is_current_leader();
         let config = self.catalog.current();
-        let (session, wake) =
-            self.relays.fanout.join(identity.name, identity.zone, &join.hello, config, fresh);
+        let (session, wake) = measure(Work::Join, || {
+            self.relays.fanout.join(identity.name, identity.zone, &join.hello, config, fresh)
+        });
         Ok(Joined { session, wake })
     }
 }
@@ -126,7 +128,8 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        self.relays.fanout.pull(pull.0, self.catalog.current(), self.relays.targets.table())
+        let (config, targets) = (self.catalog.current(), self.relays.targets.table());
+        measure(Work::Encode, || self.relays.fanout.pull(pull.0, config, targets))
     }
 }
 
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the consensus state machine.
 
+use std::fmt;
 use std::sync::Arc;
 
 use kingcuplift_core::MemberId;
@@ -106,6 +107,27 @@
     MembershipRefused,
 }
 
+/// Reason why a leader stepped down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StepDownReason {
+    /// Another member has a higher term.
+    HigherTerm,
+    /// No majority has answered in time.
+    NoMajority,
+    /// The membership no longer contains the member, or it handed over.
+    Retired,
+}
+
+impl fmt::Display for StepDownReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::HigherTerm => "higher_term",
+            Self::NoMajority => "no_majority",
+            Self::Retired => "retired",
+        })
+    }
+}
+
 /// Change of state to report to operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Notice {
@@ -114,10 +136,23 @@
         /// Term.
         term: u64,
     },
+    /// The member has heard of no leader for too long and starts an election.
+    ElectionStarted {
+        /// Term that has had no leader for too long.
+        term: u64,
+        /// Time since a leader was last heard, or since the start.
+        silent_ms: Millis,
+        /// Time by which the member itself was late to notice.
+        late_ms: Millis,
+    },
     /// The member stepped down as leader.
     SteppedDown {
         /// Term in which it was leader.
         term: u64,
+        /// Reason.
+        reason: StepDownReason,
+        /// Time since a majority last answered a request.
+        silent_ms: Millis,
     },
     /// The member has stopped leading and asked another one to take over.
     Resigned {
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -21,10 +21,17 @@
 impl Replica {
     /// Starts a pre-vote: asks whether an election could be won, without changing the term.
     pub(crate) fn start_pre_vote(&mut self) {
+        let late_ms = self.now - self.election_deadline;
         self.schedule_election_retry();
         if !self.log.membership().is_voter(self.identity.id) {
             return;
         }
+        if matches!(self.role, Role::Follower { .. }) {
+            let silent_ms = self.now - self.last_leader_contact;
+            let term = self.hard_state.term;
+            let notice = Notice::ElectionStarted { term, silent_ms, late_ms };
+            self.effects.push(Effect::Report(notice));
+        }
         self.role = Role::PreCandidate { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(true, false);
         self.count_votes();
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -17,7 +17,7 @@
 mod store;
 mod vote_restriction;
 
-pub use effect::{Effect, Event, Millis, Notice, Refusal, Token, WriteSeq};
+pub use effect::{Effect, Event, Millis, Notice, Refusal, StepDownReason, Token, WriteSeq};
 pub use folder::{DiskFolder, Folder};
 pub use formation::{Formation, InitialMembers, formation_offer, voter_from_offer};
 pub use log::Log;
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::disk_verification::DiskVerification;
-use crate::effect::{Effect, Event, Millis, Notice, Refusal, Token, WriteSeq};
+use crate::effect::{Effect, Event, Millis, Notice, Refusal, StepDownReason, Token, WriteSeq};
 use crate::log::Log;
 use crate::membership::MembershipExt;
 use crate::vote_restriction::VoteRestriction;
@@ -594,12 +594,13 @@
 
     /// Becomes a follower in `term`.
     pub(crate) fn become_follower(&mut self, term: u64, leader: Option<MemberId>) {
-        if term > self.hard_state.term {
-            self.hard_state = HardState { term, vote: 0 };
-        }
+        let is_superseded = term > self.hard_state.term;
         let is_same_leader =
             matches!(self.role, Role::Follower { leader: current } if current == leader);
-        self.step_down();
+        self.step_down(is_superseded);
+        if is_superseded {
+            self.hard_state = HardState { term, vote: 0 };
+        }
         self.role = Role::Follower { leader };
         match leader {
             Some(leader) if !is_same_leader => {
@@ -609,7 +610,14 @@
         }
     }
 
-    fn step_down(&mut self) {
+    fn step_down(&mut self, is_superseded: bool) {
+        let Role::Leader(leader) = &self.role else { return };
+        let silent_ms = self.now - self.lease_start(leader).max(leader.elected_at);
+        let reason = match is_superseded {
+            true => StepDownReason::HigherTerm,
+            false if silent_ms >= self.timing.election => StepDownReason::NoMajority,
+            false => StepDownReason::Retired,
+        };
         let Role::Leader(leader) = &mut self.role else { return };
         let pending = std::mem::take(&mut leader.pending_proposals);
         let term = self.hard_state.term;
@@ -617,7 +625,7 @@
         for token in pending.into_values() {
             self.effects.push(Effect::Refuse { token, refusal: Refusal::LeadershipLost });
         }
-        self.effects.push(Effect::Report(Notice::SteppedDown { term }));
+        self.effects.push(Effect::Report(Notice::SteppedDown { term, reason, silent_ms }));
     }
 
     /// Schedules an early election, since there is no leader after a restart of all members.
