Quorum: a member's own standstill is no silence of the others

With little processor time, or while it applies a large version, a member handles nothing for longer than the election timeout. Its timers are handled before the messages that came meanwhile: a leader whose followers had answered stepped down ("no_majority"), followers whose leader was there started an election, and others granted it the pre-vote. Each new leader began the same work.

A member that has handled no event for a heartbeat interval now reads for another one before it concludes that others are silent: it doesn't step down, starts no election, and refuses pre-votes against its leader. A member that stands still again and again does so for one election time at most, so a leader that is gone is still replaced. Leases are unaffected: reads need a majority's answer within the election time as before, and waiting longer to elect is always safe.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -73,7 +73,10 @@
         let lease_active =
             matches!(self.role, Role::Leader(_)) || self.vote_restriction.is_active(self.now);
         let candidate_term = if request.pre { term + 1 } else { term };
-        if lease_active && !request.transfer {
+        // The leader's heartbeats may wait behind this request.
+        let lease_end = self.last_leader_contact + self.timing.election;
+        let is_unsure = request.pre && self.leader().is_some() && self.may_have_unread(lease_end);
+        if (lease_active || is_unsure) && !request.transfer {
             return self.reply_vote(from, request.pre, false);
         }
         if !request.pre && term > self.hard_state.term {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -136,6 +136,8 @@
     early_retry_until: Millis,
     pub(crate) election_deadline: Millis,
     pub(crate) now: Millis,
+    /// Time until which messages may wait that came while this member stood still.
+    unread_until: Millis,
     /// Highest committed index that each member, with its disk, is known to have stored.
     pub(crate) watermarks: BTreeMap<(MemberId, u64), u64>,
     pub(crate) disk_verification: DiskVerification,
@@ -190,6 +192,7 @@
             early_retry_until: now + EARLY_RETRY_ELECTIONS * timing.election,
             election_deadline: now,
             now,
+            unread_until: now,
             watermarks: BTreeMap::new(),
             disk_verification,
             effects: Vec::new(),
@@ -209,6 +212,10 @@
 
     /// Handles one event at time `now` and returns the effects to perform, in order.
     pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        // Ticks are much closer together.
+        if now >= self.now + self.timing.heartbeat {
+            self.unread_until = now + self.timing.heartbeat;
+        }
         self.now = self.now.max(now);
         match event {
             Event::Tick => self.tick(),
@@ -349,11 +356,21 @@
             _ if !self.disk_verification.is_verified()
                 || self.vote_restriction.blocks_candidacy()
                 || self.is_vote_unsynced() => {}
-            _ if self.now >= self.election_deadline => self.start_pre_vote(),
+            _ if self.now >= self.election_deadline
+                && !self.may_have_unread(self.election_deadline) =>
+            {
+                self.start_pre_vote();
+            }
             _ => {}
         }
     }
 
+    /// Returns whether messages may wait that came while this member stood still, so that the silence of others since `due`
+    /// may be its own; a member that stands still again and again doesn't wait for longer than an election time.
+    pub(crate) fn may_have_unread(&self, due: Millis) -> bool {
+        self.now < self.unread_until && self.now < due + self.timing.election
+    }
+
     fn on_message(&mut self, message: Peer) {
         let from = MemberId::new(message.from);
         let group = self.log.membership().group;
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -26,7 +26,9 @@
         let heartbeat_due = self.now >= leader.next_heartbeat_at;
         let transfer_timed_out =
             leader.transfer_started_at.is_some_and(|at| self.now >= at + election);
-        if transfer_timed_out || self.now >= majority_contact + election {
+        let contact_due = majority_contact + election;
+        let is_silent = self.now >= contact_due && !self.may_have_unread(contact_due);
+        if transfer_timed_out || is_silent {
             self.become_follower(self.hard_state.term, None);
             return;
         }
