--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -21,10 +21,17 @@
 impl Replica {
     /// Starts a pre-vote: asks whether an election could be won, without changing the term.
     pub(crate) fn start_pre_vote(&mut self) {
+        let late_ms = self.now - self.election_deadline;
         self.schedule_election_retry();
         if !self.log.membership().is_voter(self.identity.id) {
             return;
         }
+        if matches!(self.role, Role::Follower { .. }) {
+            let silent_ms = self.now - self.last_leader_contact;
+            let term = self.hard_state.term;
+            let notice = Notice::ElectionStarted { term, silent_ms, late_ms };
+            self.effects.push(Effect::Report(notice));
+        }
         self.role = Role::PreCandidate { granted: BTreeSet::from([self.identity.id]) };
         self.request_votes(true, false);
         self.count_votes();
@@ -66,7 +73,10 @@
         let lease_active =
             matches!(self.role, Role::Leader(_)) || self.vote_restriction.is_active(self.now);
         let candidate_term = if request.pre { term + 1 } else { term };
-        if lease_active && !request.transfer {
+        // The leader's heartbeats may wait behind this request.
+        let lease_end = self.last_leader_contact + self.timing.election;
+        let is_unsure = request.pre && self.leader().is_some() && self.may_have_unread(lease_end);
+        if (lease_active || is_unsure) && !request.transfer {
             return self.reply_vote(from, request.pre, false);
         }
         if !request.pre && term > self.hard_state.term {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::disk_verification::DiskVerification;
-use crate::effect::{Effect, Event, Millis, Notice, Refusal, Token, WriteSeq};
+use crate::effect::{Effect, Event, Millis, Notice, Refusal, StepDownReason, Token, WriteSeq};
 use crate::log::Log;
 use crate::membership::MembershipExt;
 use crate::vote_restriction::VoteRestriction;
@@ -136,6 +136,8 @@
     early_retry_until: Millis,
     pub(crate) election_deadline: Millis,
     pub(crate) now: Millis,
+    /// Time until which messages may wait that came while this member stood still.
+    unread_until: Millis,
     /// Highest committed index that each member, with its disk, is known to have stored.
     pub(crate) watermarks: BTreeMap<(MemberId, u64), u64>,
     pub(crate) disk_verification: DiskVerification,
@@ -190,6 +192,7 @@
             early_retry_until: now + EARLY_RETRY_ELECTIONS * timing.election,
             election_deadline: now,
             now,
+            unread_until: now,
             watermarks: BTreeMap::new(),
             disk_verification,
             effects: Vec::new(),
@@ -209,6 +212,10 @@
 
     /// Handles one event at time `now` and returns the effects to perform, in order.
     pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Effect> {
+        // Ticks are much closer together.
+        if now >= self.now + self.timing.heartbeat {
+            self.unread_until = now + self.timing.heartbeat;
+        }
         self.now = self.now.max(now);
         match event {
             Event::Tick => self.tick(),
@@ -349,11 +356,21 @@
             _ if !self.disk_verification.is_verified()
                 || self.vote_restriction.blocks_candidacy()
                 || self.is_vote_unsynced() => {}
-            _ if self.now >= self.election_deadline => self.start_pre_vote(),
+            _ if self.now >= self.election_deadline
+                && !self.may_have_unread(self.election_deadline) =>
+            {
+                self.start_pre_vote();
+            }
             _ => {}
         }
     }
 
+    /// Returns whether messages may wait that came while this member stood still, so that the silence of others since `due`
+    /// may be its own; a member that stands still again and again doesn't wait for longer than an election time.
+    pub(crate) fn may_have_unread(&self, due: Millis) -> bool {
+        self.now < self.unread_until && self.now < due + self.timing.election
+    }
+
     fn on_message(&mut self, message: Peer) {
         let from = MemberId::new(message.from);
         let group = self.log.membership().group;
@@ -594,12 +611,13 @@
 
     /// Becomes a follower in `term`.
     pub(crate) fn become_follower(&mut self, term: u64, leader: Option<MemberId>) {
-        if term > self.hard_state.term {
-            self.hard_state = HardState { term, vote: 0 };
-        }
+        let is_superseded = term > self.hard_state.term;
         let is_same_leader =
             matches!(self.role, Role::Follower { leader: current } if current == leader);
-        self.step_down();
+        self.step_down(is_superseded);
+        if is_superseded {
+            self.hard_state = HardState { term, vote: 0 };
+        }
         self.role = Role::Follower { leader };
         match leader {
             Some(leader) if !is_same_leader => {
@@ -609,7 +627,14 @@
         }
     }
 
-    fn step_down(&mut self) {
+    fn step_down(&mut self, is_superseded: bool) {
+        let Role::Leader(leader) = &self.role else { return };
+        let silent_ms = self.now - self.lease_start(leader).max(leader.elected_at);
+        let reason = match is_superseded {
+            true => StepDownReason::HigherTerm,
+            false if silent_ms >= self.timing.election => StepDownReason::NoMajority,
+            false => StepDownReason::Retired,
+        };
         let Role::Leader(leader) = &mut self.role else { return };
         let pending = std::mem::take(&mut leader.pending_proposals);
         let term = self.hard_state.term;
@@ -617,7 +642,7 @@
         for token in pending.into_values() {
             self.effects.push(Effect::Refuse { token, refusal: Refusal::LeadershipLost });
         }
-        self.effects.push(Effect::Report(Notice::SteppedDown { term }));
+        self.effects.push(Effect::Report(Notice::SteppedDown { term, reason, silent_ms }));
     }
 
     /// Schedules an early election, since there is no leader after a restart of all members.
