Testing: the soak checks changed routes, later routes, route timeouts and split shares

Nothing checked with real processes how calls on routes that versions change are handled: another service, other weights, another timeout, a route dropped and added again under the same name and prefix; nor whether routes that are added later are served, calls are answered soon after their route's timeout, and parts of a split get their shares. Versions now change four such routes, their contents follow from the version's number, and each call is checked against the versions that may be in force at its node. Two services have few targets; those of one start late and cold. Targets hang or drip.

--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -17,6 +17,9 @@
     /// time during which faults are injected, in seconds
     #[argh(option, default = "8")]
     seconds: u64,
+    /// time before the first fault, in seconds
+    #[argh(option, default = "0")]
+    steady: u64,
     /// number of source members
     #[argh(option, default = "3")]
     members: usize,
@@ -73,6 +76,7 @@
             arguments.submit_ms.map_or(options.submit_interval, Duration::from_millis);
         let idle_routes = arguments.idle_routes.unwrap_or(options.idle_routes);
         let report = run_soak(SoakOptions {
+            steady_time: Duration::from_secs(arguments.steady),
             fault_duration,
             submit_interval,
             callers: arguments.callers,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -28,6 +28,7 @@
 pub use scripted::{PIECE_BYTES, ReceivedRequest, ScriptedTarget, TargetBehavior};
 pub use site::{Response, Site, SiteBuilder};
 pub use soak::{
-    LeaderFault, LeaderFaultOptions, OrderKind, PlannedDayOptions, PlannedDayReport, PlannedOrder,
-    Proxy, ProxyFault, SoakOptions, SoakReport, run_leader_faults, run_planned_day, run_soak,
+    ChangeReport, LeaderFault, LeaderFaultOptions, OrderKind, PlannedDayOptions, PlannedDayReport,
+    PlannedOrder, Proxy, ProxyFault, SoakOptions, SoakReport, run_leader_faults, run_planned_day,
+    run_soak,
 };
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -8,6 +8,7 @@
 mod planned_day;
 mod probes;
 mod proxy;
+mod route_changes;
 mod throttle;
 
 use std::collections::{BTreeMap, HashMap};
@@ -26,6 +27,7 @@
 pub use self::planned_day::{PlannedDayOptions, PlannedDayReport, PlannedOrder, run_planned_day};
 use self::probes::Disturbance;
 pub use self::proxy::{Proxy, ProxyFault};
+pub use self::route_changes::ChangeReport;
 use self::throttle::Throttle;
 use crate::plaintext_site::{PlaintextSite, request, request_with_redirect};
 
@@ -43,6 +45,8 @@
 pub struct SoakOptions {
     /// Seed of the faults and the load.
     pub seed: u64,
+    /// Time before the first fault.
+    pub steady_time: Duration,
     /// Time during which faults are injected.
     pub fault_duration: Duration,
     /// Number of source members.
@@ -78,6 +82,7 @@
     pub fn short(seed: u64) -> Self {
         Self {
             seed,
+            steady_time: Duration::ZERO,
             fault_duration: Duration::from_secs(8),
             members: 3,
             nodes: 4,
@@ -124,6 +129,8 @@
     pub versions: usize,
     /// Number of probes that showed whether a node had a version in force.
     pub probes: usize,
+    /// What the calls on routes that versions change have shown.
+    pub changes: ChangeReport,
     /// Longest time after its confirmation at which an undisturbed node lacked a version.
     pub longest_lag: Duration,
     /// Time after the last fault until all nodes served and all members showed the newest version.
@@ -143,7 +150,7 @@
         write!(
             f,
             "seed {}: {} calls, {} answered, {} versions, {} probes, lag {:.0?}, recovery {:.1?}, \
-             processor {:.3} {:.3}, {} faults, {} violations",
+             processor {:.3} {:.3}, {}, {} faults, {} violations",
             self.seed,
             self.calls,
             self.answered,
@@ -153,6 +160,7 @@
             self.recovery_time,
             self.processor_shares.0,
             self.processor_shares.1,
+            self.changes,
             self.injected_faults.len(),
             self.violations.len()
         )
@@ -230,11 +238,20 @@
             probes::probe_nodes(&probed, options.seed ^ number, &observations, &is_stopped);
         }));
     }
+    for number in 0..route_changes::CHANGE_CALLERS + route_changes::HANGING_CALLERS {
+        let (probed, (observations, is_stopped)) = (probed.clone(), shared.clone());
+        let is_hanging = number >= route_changes::CHANGE_CALLERS;
+        let seed = options.seed ^ (number << 16);
+        threads.push(std::thread::spawn(move || {
+            route_changes::call_routes(&probed, seed, is_hanging, &observations, &is_stopped);
+        }));
+    }
     let (throttle, stop) = (soak.throttle.clone(), Arc::clone(&is_stopped));
     threads.push(std::thread::spawn(move || throttle.run(&stop)));
     for name in soak.site.names() {
         soak.throttle(&name);
     }
+    std::thread::sleep(options.steady_time);
     soak.started_at = Instant::now();
     while soak.started_at.elapsed() < options.fault_duration {
         let fault = soak.draw_fault();
@@ -261,6 +278,7 @@
     check_run_counts(&run_counts, &observations);
     let (probes, longest_lag) =
         probes::check_probes(&soak.disturbances, options.members, &observations);
+    let changes = route_changes::check_changes(&soak.disturbances, options.members, &observations);
     soak.proxies.values().flatten().for_each(Proxy::stop);
     let violations = observations.violations();
     SoakReport {
@@ -269,6 +287,7 @@
         answered: observations.answered.load(Ordering::Relaxed),
         versions: lock(&observations.confirmed).len(),
         probes,
+        changes,
         longest_lag,
         recovery_time,
         processor_shares,
@@ -286,8 +305,11 @@
     run_counts: &RunCounts,
     is_stopped: &Arc<AtomicBool>,
 ) -> (PlaintextSite, Vec<String>) {
-    let backends: Vec<Backend> =
-        (1..=nodes).map(|number| Backend::start(number, run_counts, is_stopped)).collect();
+    let start = |number| {
+        let backend = Backend::start(number, run_counts, is_stopped);
+        backend.with_service(route_changes::service_of(number))
+    };
+    let backends: Vec<Backend> = (1..=nodes).map(start).collect();
     let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
     let site = PlaintextSite::start_with(members, &addresses, is_proxied, election_timeout);
     let nodes: Vec<String> = (1..=nodes).map(|number| format!("node-{number}")).collect();
@@ -304,6 +326,7 @@
         site.operator_request("PUT", "/v1/revision", "if-match: 0\r\n", &document.to_string());
     assert!(matches!(response.status, 200 | 201), "the first version is accepted: {response:?}");
     let first = load::Confirmed { at: Instant::now(), document, chain: vec![1] };
+    lock(&observations.submitted).insert(1, first.at);
     lock(&observations.confirmed).insert(1, first);
     site.wait("a ready node", |site| {
         let ready = request(&site.addresses("node-1").ready, "GET", "/readyz", "", "");
--- a/crates/testing/src/soak/backend.rs
+++ b/crates/testing/src/soak/backend.rs
@@ -11,9 +11,18 @@
 
 use crate::addresses::AddressPool;
 use crate::plaintext_site::{RawResponse, request};
+use crate::soak::route_changes::HANGING_PATH;
 
 /// Time that a run takes.
 const RUN_TIME: Duration = Duration::from_millis(5);
+/// Time for which a call on a hanging path gets no answer, and the interval of the bytes of one that drips.
+const HANGING_TIME: Duration = Duration::from_secs(3);
+const DRIP_INTERVAL: Duration = Duration::from_millis(100);
+/// Length of an answer that drips, in bytes; longer than any call lasts.
+const DRIP_LENGTH: usize = 100;
+/// Time after which targets of the service `late` report first, and for which they are cold then.
+const LATE_START: Duration = Duration::from_secs(5);
+const LATE_WARMUP: Duration = Duration::from_secs(3);
 /// Interval between reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -28,6 +37,8 @@
 pub(crate) struct Backend {
     address: SocketAddr,
     name: String,
+    service: &'static str,
+    created_at: Instant,
     run_counts: RunCounts,
     is_stopped: Arc<AtomicBool>,
 }
@@ -44,6 +55,8 @@
         let backend = Self {
             address,
             name: format!("i-{number}"),
+            service: "desk",
+            created_at: Instant::now(),
             run_counts: Arc::clone(run_counts),
             is_stopped: Arc::clone(is_stopped),
         };
@@ -58,6 +71,11 @@
         backend
     }
 
+    /// Sets the service that the target reports.
+    pub(crate) fn with_service(self, service: &'static str) -> Self {
+        Self { service, ..self }
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
@@ -67,6 +85,9 @@
         let backend = self.clone();
         let sequence = AtomicU64::new(1);
         std::thread::spawn(move || {
+            if backend.service == "late" {
+                std::thread::sleep(LATE_START);
+            }
             while !backend.is_stopped.load(Ordering::Acquire) {
                 // A lost report is made up for by the next one.
                 drop(backend.report(&admin, "ready", sequence.fetch_add(1, Ordering::Relaxed)));
@@ -87,9 +108,17 @@
         None
     }
 
+    /// Returns for how long the target will still be cold.
+    fn warmup_left(&self) -> Duration {
+        match self.service {
+            "late" => (LATE_START + LATE_WARMUP).saturating_sub(self.created_at.elapsed()),
+            _ => Duration::ZERO,
+        }
+    }
+
     fn report(&self, admin: &str, state: &str, sequence: u64) -> RawResponse {
-        let body = json!({ "service": "desk", "address": self.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "warmup_ms": 0, "sequence": sequence,
+        let body = json!({ "service": self.service, "address": self.address.to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "warmup_ms": self.warmup_left().as_millis() as u64, "sequence": sequence,
             "born": 1_000 });
         let path = format!("/v1/instances/{}", self.name);
         request(admin, "PUT", &path, "", &body.to_string())
@@ -124,6 +153,9 @@
                 .entry(id.clone())
                 .or_default() += 1;
             std::thread::sleep(RUN_TIME);
+            if lower.lines().next().is_some_and(|line| line.contains(HANGING_PATH)) {
+                return hang(&mut stream, &id, lower.contains("drip "));
+            }
             let own = &self.name;
             write!(
                 stream,
@@ -133,3 +165,20 @@
         }
     }
 }
+
+/// Leaves a call without a complete answer; its connection ends with that.
+fn hang(stream: &mut TcpStream, id: &str, drips: bool) -> std::io::Result<()> {
+    if !drips {
+        std::thread::sleep(HANGING_TIME);
+        return Ok(());
+    }
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\nx-call: {id}\r\nx-seal: s\r\ncontent-length: {DRIP_LENGTH}\r\n\r\n"
+    )?;
+    for _ in 1..DRIP_LENGTH {
+        std::thread::sleep(DRIP_INTERVAL);
+        stream.write_all(b".")?;
+    }
+    Ok(())
+}
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -14,6 +14,7 @@
 use crate::plaintext_site::{RawResponse, follow_redirect, request_with_redirect};
 use crate::soak::SoakOptions;
 use crate::soak::probes::Probe;
+use crate::soak::route_changes::{ChangeCall, add_routes, own_service};
 
 /// Interval between the calls of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(8);
@@ -67,6 +68,10 @@
     pub(super) confirmer: Mutex<Option<String>>,
     /// Versions whose submission was refused, with the time of the refusal.
     pub(super) refused: Mutex<BTreeMap<u64, Instant>>,
+    /// Times at which versions were submitted first.
+    pub(super) submitted: Mutex<BTreeMap<u64, Instant>>,
+    /// Calls on routes that versions change.
+    pub(super) change_calls: Mutex<Vec<ChangeCall>>,
     /// What nodes have shown of their configuration.
     pub(super) probes: Mutex<Vec<Probe>>,
     pub(super) calls: AtomicU64,
@@ -103,13 +108,16 @@
 /// versions before it, so that a node's answers show how new its configuration is.
 pub(super) fn document(number: u64, author: u64, chain: &[u64], idle_routes: usize) -> Value {
     let mut document = base_document(number, author);
+    add_routes(&mut document, number);
     let route = |prefix: String| {
         json!({ "host": "c.example", "prefix": prefix, "semantics": "idempotent",
             "timeout_ms": 2_000, "objective_ms": 500, "rank": 2, "attempts": 2, "service": "desk" })
     };
     let oldest = (chain.len() + 1).saturating_sub(KEPT_ROUTES);
     for version in chain.iter().skip(oldest).chain([&number]) {
-        document["routes"][format!("own-{version}")] = route(own_prefix(*version));
+        let mut own = route(own_prefix(*version));
+        own["service"] = json!(own_service(*version));
+        document["routes"][format!("own-{version}")] = own;
     }
     let percent = if (number / GROWTH_PERIOD) % 2 == 1 { GROWN_PERCENT } else { 100 };
     for index in 0..idle_routes * percent / 100 {
@@ -263,6 +271,7 @@
         last_number = number;
         let document = document(number, author, &chain, options.idle_routes);
         let first_member = rng.random_range(0..64);
+        lock(&observations.submitted).insert(number, Instant::now());
         let chain = chain.into_iter().chain([number]).collect();
         let submission = Submission { base, number, document, chain };
         match submission.send(members, first_member, observations) {
--- a/crates/testing/src/soak/probes.rs
+++ b/crates/testing/src/soak/probes.rs
@@ -13,13 +13,13 @@
 /// Time between two probes of one prober.
 const PROBE_INTERVAL: Duration = Duration::from_millis(15);
 /// Time without a disturbance after which bounds hold for a process.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+pub(super) const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time by which disturbances of a minority of the members may delay a version.
 const UNSTABLE_SLACK: Duration = Duration::from_secs(5);
 /// Time after which a node never handles a call by an older version than it has shown.
-const REGRESSION_SLACK: Duration = Duration::from_millis(250);
+pub(super) const REGRESSION_SLACK: Duration = Duration::from_millis(250);
 /// The same for a node that was paused or whose links were disturbed in the meantime.
-const DISTURBED_SLACK: Duration = Duration::from_secs(2);
+pub(super) const DISTURBED_SLACK: Duration = Duration::from_secs(2);
 
 /// What a node has shown of one version.
 #[derive(Debug, Clone)]
@@ -54,7 +54,7 @@
         has_edge || (!self.is_absent && self.overlaps(from, to))
     }
 
-    fn overlaps(&self, from: Instant, to: Instant) -> bool {
+    pub(super) fn overlaps(&self, from: Instant, to: Instant) -> bool {
         self.began_at <= to && self.ended_at.is_none_or(|ended_at| ended_at >= from)
     }
 }
@@ -137,22 +137,23 @@
     }
 }
 
-/// Returns how long after its confirmation a version must be in force at the probed node, if the node is in touch.
-fn staleness_bound(
-    probe: &Probe,
+/// Returns how long after its confirmation a version must be in force at a node for a call, if the node is in touch.
+pub(super) fn staleness_bound(
+    node: &str,
+    (sent_at, answered_at): (Instant, Instant),
     confirmed_at: Instant,
     disturbances: &[Disturbance],
     members: usize,
 ) -> Option<Duration> {
-    let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
-    let since = |time: Duration| probe.sent_at.checked_sub(time).unwrap_or(probe.sent_at);
+    let own = |disturbance: &&Disturbance| disturbance.process == node;
+    let since = |time: Duration| sent_at.checked_sub(time).unwrap_or(sent_at);
     let is_calm =
-        |disturbance: &Disturbance| !disturbance.overlaps(since(CONTACT_TIME), probe.answered_at);
+        |disturbance: &Disturbance| !disturbance.overlaps(since(CONTACT_TIME), answered_at);
     let is_in_touch = disturbances.iter().filter(own).all(is_calm);
     let is_member = |disturbance: &&Disturbance| disturbance.process.starts_with("core");
     let has_majority = |from: Instant| {
         let disturbed = disturbances.iter().filter(is_member);
-        let disturbed = disturbed.filter(|d| d.overlaps(from, probe.answered_at));
+        let disturbed = disturbed.filter(|d| d.overlaps(from, answered_at));
         let processes: BTreeSet<_> = disturbed.map(|d| d.process.as_str()).collect();
         processes.len() * 2 < members
     };
@@ -160,7 +161,7 @@
     let is_stable = !disturbances
         .iter()
         .filter(is_member)
-        .any(|disturbance| disturbance.unsettles(calm_since, probe.answered_at));
+        .any(|disturbance| disturbance.unsettles(calm_since, answered_at));
     match () {
         () if !is_in_touch => None,
         () if is_stable && has_majority(calm_since) => Some(STALENESS_LIMIT),
@@ -189,7 +190,8 @@
     };
     drop(confirmed);
     let age = probe.sent_at.saturating_duration_since(at);
-    let bound = staleness_bound(probe, at, disturbances, members);
+    let times = (probe.sent_at, probe.answered_at);
+    let bound = staleness_bound(&probe.node, times, at, disturbances, members);
     if bound.is_some_and(|bound| age > bound) {
         observations.record_violation(format!(
             "{} has the route of version {} {:.2} s after the confirmation of {number}, which dropped it",
@@ -222,7 +224,8 @@
     if newer + 3 >= KEPT_ROUTES {
         return Duration::ZERO;
     }
-    let bound = staleness_bound(probe, confirmed_at, disturbances, members);
+    let times = (probe.sent_at, probe.answered_at);
+    let bound = staleness_bound(&probe.node, times, confirmed_at, disturbances, members);
     let own = |disturbance: &&Disturbance| disturbance.process == probe.node;
     let age = probe.sent_at.saturating_duration_since(confirmed_at);
     if bound.is_some_and(|bound| age > bound) {
