Quorum: interrupted deletion of segments leaves a readable log

What callers saw: a member refuses to start after a loss of power, with "log-... is damaged at offset 0"; its disk is lost for the group, beyond those that are lost anyway. Found with the fake disk, not seen on a site.

Each deletion may be kept or lost by itself, so the first segment could come back without the second; the third one does not continue the first one's chain of checksums. FakeDisk undid all unsynced changes of names together, so no test could see it.

It passes with a sync of the directory between two deletions: at most one of them is then open, and it is the oldest segment's. Cost: one more sync for each deleted segment of 8 MiB.

--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -273,8 +273,12 @@
     }
 
     /// Deletes the segments that the snapshot covers, except the last one.
+    ///
+    /// Each deletion is durable before the next one: a loss of power could otherwise keep a segment without its successor,
+    /// which reads as a damaged log.
     fn delete_covered_segments(&mut self) -> Result<(), StoreError> {
         while self.segments.len() > 1 && self.segments[0].last <= self.snapshot_index {
+            self.folder.sync_names().map_err(|e| io_error(".", e))?;
             let name = segment_name(self.segments[0].number);
             self.folder.remove(&name).map_err(|e| io_error(&name, e))?;
             self.segments.remove(0);
--- a/crates/quorum/tests/storage_damage.rs
+++ b/crates/quorum/tests/storage_damage.rs
@@ -156,6 +156,40 @@
     assert_eq!(recovery.restored.entries.len(), 1);
 }
 
+/// A loss of power while segments were deleted kept an old one without its successor, and the member refused to start.
+#[test]
+fn interrupted_deletion_is_read() {
+    let large_record = |index| {
+        let command = vec![7; 1 << 20].into();
+        let body = Some(entry::Body::Command(command));
+        Record { hard_state: None, entries: vec![Entry { index, term: 1, body }] }
+    };
+    let (mut store, _) = Store::open(FakeDisk::default(), MEMBER, 9).expect("an empty folder");
+    (1..=30).for_each(|index| store.save(&[large_record(index)]).expect("the disk works"));
+    let snapshot = Snapshot { index: 29, term: 1, ..Snapshot::default() };
+    let mut interrupted = 0;
+    for calls in 1.. {
+        let (mut store, _) = Store::open(store.folder().clone(), MEMBER, 9).expect("an intact log");
+        store.folder_mut().calls_until_loss = Some(calls);
+        let has_ended = store.save_snapshot(&snapshot).is_ok();
+        let disk = store.into_folder();
+        for kept in 0..1_u32 << disk.unsynced_names() {
+            let mut disk = disk.clone();
+            disk.crash_keeping_names(0, |at| kept >> at & 1 == 1);
+            let (_, recovery) = Store::open(disk, MEMBER, 10)
+                .unwrap_or_else(|error| panic!("after {calls} calls, names {kept:b}: {error}"));
+            let restored = recovery.restored;
+            let last = restored.entries.last().map_or(restored.snapshot.index, |last| last.index);
+            assert_eq!(last, 30, "after {calls} calls, names {kept:b}");
+            interrupted += 1;
+        }
+        if has_ended {
+            break;
+        }
+    }
+    assert!(interrupted > 10, "{interrupted}");
+}
+
 #[rstest]
 #[case::sync(DiskFault::Sync)]
 #[case::full(DiskFault::Full)]
--- a/crates/testing/src/disk.rs
+++ b/crates/testing/src/disk.rs
@@ -27,15 +27,27 @@
     Limit(usize),
 }
 
+/// Change of a file's name that is not durable yet.
+#[derive(Debug, Clone)]
+enum NameChange {
+    Create(String, FileId),
+    Rename(String, String),
+    Remove(String),
+}
+
 /// An in-memory [`Folder`] that tracks which data and names are durable.
 #[derive(Debug, Clone, Default)]
 pub struct FakeDisk {
     files: BTreeMap<FileId, File>,
     names: BTreeMap<String, FileId>,
     durable_names: BTreeMap<String, FileId>,
+    /// Changes since the names were synced last, in their order.
+    name_changes: Vec<NameChange>,
     next: FileId,
     /// I/O error that is injected at present.
     pub fault: Option<DiskFault>,
+    /// Number of changes until the power is lost: later ones fail and have no effect.
+    pub calls_until_loss: Option<usize>,
 }
 
 impl FakeDisk {
@@ -43,8 +55,29 @@
     ///
     /// Of the `n` bytes appended to a file since its last sync, the first `kept % (n + 1)` survive.
     pub fn crash(&mut self, kept: usize) {
-        self.names = self.durable_names.clone();
+        self.crash_keeping_names(kept, |_| false);
+    }
+
+    /// Simulates a power failure after which some changes of names are kept though they were not synced.
+    ///
+    /// `is_kept` selects them by their position among the changes since the last sync of the names.
+    pub fn crash_keeping_names(&mut self, kept: usize, is_kept: impl Fn(usize) -> bool) {
+        let mut names = self.durable_names.clone();
+        for (at, change) in std::mem::take(&mut self.name_changes).into_iter().enumerate() {
+            match change {
+                _ if !is_kept(at) => {}
+                NameChange::Create(name, id) => drop(names.insert(name, id)),
+                NameChange::Rename(from, to) => {
+                    let id = names.remove(&from);
+                    names.extend(id.map(|id| (to, id)));
+                }
+                NameChange::Remove(name) => drop(names.remove(&name)),
+            }
+        }
+        self.durable_names.clone_from(&names);
+        self.names = names;
         self.fault = None;
+        self.calls_until_loss = None;
         for file in self.files.values_mut() {
             let appended = file.data.starts_with(&file.durable);
             if appended && file.data.len() > file.durable.len() {
@@ -58,6 +91,23 @@
         }
     }
 
+    /// Returns the number of changes of names since their last sync.
+    pub fn unsynced_names(&self) -> usize {
+        self.name_changes.len()
+    }
+
+    /// Counts a change; returns an error once the power is lost.
+    fn use_power(&mut self) -> io::Result<()> {
+        match &mut self.calls_until_loss {
+            Some(0) => Err(io::Error::other("the power is lost")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Returns the names of the files.
     pub fn file_names(&self) -> Vec<String> {
         self.names.keys().cloned().collect()
@@ -80,6 +130,7 @@
     fn file(&mut self, name: &str) -> &mut File {
         let id = *self.names.entry(name.to_owned()).or_insert_with(|| {
             self.next += 1;
+            self.name_changes.push(NameChange::Create(name.to_owned(), self.next));
             self.next
         });
         self.files.entry(id).or_default()
@@ -101,6 +152,7 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.use_power()?;
         let fault = self.fault;
         let file = self.file(name);
         let room = match fault {
@@ -119,6 +171,7 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.use_power()?;
         let has_failed = self.fault == Some(DiskFault::Sync);
         let file = self.file(name);
         file.is_poisoned |= has_failed;
@@ -131,25 +184,33 @@
     }
 
     fn sync_names(&mut self) -> io::Result<()> {
+        self.use_power()?;
         if self.fault == Some(DiskFault::Sync) {
             return Err(io::Error::other("injected sync failure"));
         }
         self.durable_names = self.names.clone();
+        self.name_changes.clear();
         Ok(())
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.use_power()?;
         self.file(name).data.truncate(length as usize);
         Ok(())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.use_power()?;
         let id = self.names.remove(from).ok_or_else(not_found)?;
         self.names.insert(to.to_owned(), id);
+        self.name_changes.push(NameChange::Rename(from.to_owned(), to.to_owned()));
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.names.remove(name).map(drop).ok_or_else(not_found)
+        self.use_power()?;
+        self.names.remove(name).ok_or_else(not_found)?;
+        self.name_changes.push(NameChange::Remove(name.to_owned()));
+        Ok(())
     }
 }
