Source: relays get no versions that a leader passes while it applies its log

What callers saw: after a restart of all processes, nodes decoded, checked and held one to three old versions of all routes before the newest one, with a tenth of a core; those were the bases of the refused updates (event 302).

Cause: a leader applies its log in slices of 4 ms. Join waits for the end, but a relay that had joined before the commit pulled whatever version the catalog had between two slices. Class of fault: a reader of state that is half applied.

Why it works: the update stays pending until all committed entries are applied; that wakes all sessions.

Not covered: a leader that knows only a part of the commits when it is elected sends that until it has committed.

--- a/crates/cli/tests/long_logs.rs
+++ b/crates/cli/tests/long_logs.rs
@@ -1,5 +1,6 @@
 //! Restart of all source members with a log that takes long to apply, with real processes.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use kingcuplift_testing::{PlaintextSite, put_revision, request};
@@ -11,6 +12,8 @@
 const VERSIONS: u64 = 40;
 /// Number of routes.
 const ROUTES: usize = 400;
+/// Restarts of all members; a relay may connect only after the leader has applied its log.
+const RESTARTS: usize = 3;
 /// Longest time until the configuration can be read after the restart.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 
@@ -53,3 +56,35 @@
     }
     assert_eq!(elections(&site) - before, 1, "elections in {:.1?}", started_at.elapsed());
 }
+
+/// A leader sent its relays the versions that it came by while it applied its log; each may change all routes.
+#[test]
+fn relays_get_no_passed_versions() {
+    let mut site = PlaintextSite::start(MEMBERS, &[]);
+    for version in 1..=VERSIONS {
+        assert_eq!(put_revision(&site, version - 1, &configuration(version)).status, 201);
+    }
+    let members: Vec<String> = (1..=MEMBERS).map(|number| format!("core-{number}")).collect();
+    let mut heads = BTreeSet::new();
+    for _ in 0..RESTARTS {
+        members.iter().for_each(|name| site.kill(name));
+        members.iter().for_each(|name| site.start_process(name));
+        let started_at = Instant::now();
+        let mut newest = 0;
+        while newest < MEMBERS {
+            assert!(
+                started_at.elapsed() < RECOVERY_LIMIT,
+                "heads {heads:?}; logs: {}",
+                site.logs()
+            );
+            let answers = (1..=MEMBERS).map(|number| {
+                request(&site.relay_address(number), "GET", "/healthz", "", "").json()
+            });
+            let known: Vec<u64> = answers.filter_map(|answer| answer["head"].as_u64()).collect();
+            newest = known.iter().filter(|head| **head >= VERSIONS).count();
+            heads.extend(known);
+        }
+    }
+    let passed: Vec<u64> = heads.into_iter().filter(|head| (1..VERSIONS).contains(head)).collect();
+    assert!(passed.is_empty(), "{passed:?}: versions that relays got before the newest");
+}
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -166,17 +166,21 @@
     }
 
     /// Returns everything that is pending for one process, or `None` if its session has ended.
+    ///
+    /// Without `config`, updates of the configuration stay pending.
     pub(crate) fn pull(
         &mut self,
         session: SessionId,
-        config: &VersionedDocument,
+        config: Option<&VersionedDocument>,
         table: &TargetTable,
     ) -> Option<Vec<Downward>> {
         let downstream = self.sessions.get_mut(&session)?;
         let mut bodies = Vec::new();
         // Until there is a configuration, the process keeps the one that it has.
-        let has_config = config.head() > Version::default();
-        if has_config && downstream.sent_version.is_none_or(|sent| sent < config.head()) {
+        let config = config.filter(|config| config.head() > Version::default());
+        if let Some(config) = config
+            && downstream.sent_version.is_none_or(|sent| sent < config.head())
+        {
             let (frame, summary) = self.cache.frame(downstream, config);
             downstream.sent_update = Some(summary);
             bodies.push(downward::Body::Update(frame));
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -372,7 +372,7 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        measure(Work::Encode, || self.fanout.pull(pull.0, &self.config, self.targets.table()))
+        measure(Work::Encode, || self.fanout.pull(pull.0, Some(&self.config), self.targets.table()))
     }
 }
 
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -128,7 +128,9 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        let (config, targets) = (self.catalog.current(), self.relays.targets.table());
+        // The versions that the catalog passes while the log is applied are outdated already.
+        let config = self.has_applied_all().then(|| self.catalog.current());
+        let targets = self.relays.targets.table();
         measure(Work::Encode, || self.relays.fanout.pull(pull.0, config, targets))
     }
 }
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -348,6 +348,11 @@
         format!("{}:{HTTP_PORT}", self.hosts[number - 1])
     }
 
+    /// Returns the address of the health endpoint of a member's relay.
+    pub fn relay_address(&self, number: usize) -> String {
+        format!("{}:{RELAY_HTTP_PORT}", self.hosts[number - 1])
+    }
+
     /// Returns the address of the operator API of a member, by its name.
     pub(crate) fn operator_address_of(&self, name: &str) -> String {
         self.operator_address(member_number(name).expect("the name of a member"))
