Moves: a leader that knows no target of the service answers 503

What callers saw: a proper order was refused with 404, "no other target version of the service receives calls" (hanging_version_is_taken_back::case_2_caller_leaves, once). Operators may take the third 4xx as final.

Cause: a leader knows targets only by the reports of its relays, and took "none reported" for "none there".

Evidence: move_waits_for_reports orders a move before the first report: 404 on the code before, 503 now, and 201 once the report has come in; a service that is not configured still gets 404. move_evidence and repeated_orders pass.

Why it works: an order for a configured service without any target here is not refused, but may be sent again.

Not covered: a leader that so far knows only targets of the new version still answers 404.

--- a/crates/daemon/src/source/moves.rs
+++ b/crates/daemon/src/source/moves.rs
@@ -246,6 +246,13 @@
         let targets = self.relays.targets.table().of_service(service.as_str());
         targets.map(|(key, _)| key.version.clone()).find(|version| version.as_str() != to.as_str())
     }
+
+    /// Returns whether a configured service has no targets here: the relays of a new leader may not have reported them.
+    fn lacks_targets(&self, service: &ServiceName) -> bool {
+        let key = ResourceKey::new(Kind::Services, service.as_str());
+        let mut targets = self.relays.targets.table().of_service(service.as_str());
+        self.catalog.current().document().contains(&key) && targets.next().is_none()
+    }
 }
 
 /// Returns whether the leader has to advance a move.
@@ -276,12 +283,18 @@
                 );
             }
         }
-        let from = self.serving_version(&request.service, &request.to);
-        let Some(from) = from.filter(|from| from.as_str() != request.to.as_str()) else {
-            let detail = "no other target version of the service receives calls";
-            return Box::pin(
-                async move { Response::problem(ResultCode::ResourceNotFound, detail) },
-            );
+        let from = match self.serving_version(&request.service, &request.to) {
+            Some(from) if from.as_str() != request.to.as_str() => from,
+            None if self.lacks_targets(&request.service) => {
+                let detail = "no target of the service is known yet; try again shortly";
+                return Box::pin(async move { Response::Unready(detail) });
+            }
+            _ => {
+                let detail = "no other target version of the service receives calls";
+                return Box::pin(
+                    async move { Response::problem(ResultCode::ResourceNotFound, detail) },
+                );
+            }
         };
         let spec = json!({
             "service": request.service.as_str(),
