Config: a full configuration with the number 0 is refused

What callers saw: a configuration whose number is 0, so not above the active one, was confirmed with 201 and put in force, whatever `If-Match` said; it was read back under the active number. After that, each valid configuration that changed one of the same routes was refused with 409 for good, so nothing newer came into force.

Cause (a reserved value taken from input): in a submission, `revision: 0` stands for a patch that is no full configuration, so the checks of the base and of the number were skipped, and the active number stayed. Later configurations name the version before that patch as their base, which conflicts with it.

Evidence: one member of (release, real process): PUT 5 on 0: 201; PUT 0 on 5 with another prefix: 201, and GET shows number 5 with that prefix; PUT 6 on 5: 409 "routes/r changed in version 2". With this change: 400, GET unchanged, PUT 6 on 5: 201.

--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -50,7 +50,13 @@
 impl<'a> RevisionBody<'a> {
     /// Parses a full configuration from JSON text.
     pub fn parse(text: &'a [u8]) -> Result<Self, Faults> {
-        serde_json::from_slice(text).map_err(|error| malformed(&error))
+        let body: Self = serde_json::from_slice(text).map_err(|error| malformed(&error))?;
+        let mut faults = Faults::default();
+        if body.version == 0 {
+            let detail = "0 stands for no configuration; use a number above the active one";
+            faults.push(ResultCode::PatchBadValue, "version", detail);
+        }
+        faults.into_result(body)
     }
 
     /// Returns the number assigned by the operator.
