Config: null in place of a route or service is refused

What callers saw: a configuration with null in place of a route was confirmed, without that route, and read back without it.

Cause (one notation for two meanings): a full configuration becomes a merge patch, in which null removes a resource.

--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -56,6 +56,15 @@
             let detail = "0 stands for no configuration; use a number above the active one";
             faults.push(ResultCode::PatchBadValue, "version", detail);
         }
+        let kinds = [(Kind::Services, &body.services), (Kind::Routes, &body.routes)];
+        for (kind, resources) in kinds {
+            let removed = resources.iter().filter(|(_, text)| text.get() == "null");
+            for (name, _) in removed {
+                let detail = "null is not a resource; leave out what is to be removed";
+                let path = ResourceKey::new(kind, name).to_string();
+                faults.push(ResultCode::PatchWrongType, path, detail);
+            }
+        }
         faults.into_result(body)
     }
 
--- a/crates/config/tests/invalid_revisions.rs
+++ b/crates/config/tests/invalid_revisions.rs
@@ -69,6 +69,10 @@
 #[case::negative_rank(r#""rank":2"#, r#""rank":-1"#)]
 #[case::prefix_without_slash("/b/", "b/")]
 #[case::no_host(r#""host":"a.example","prefix":"/b/""#, r#""prefix":"/b/""#)]
+#[case::route_is_null(
+    r#"{"host":"a.example","prefix":"/b/","semantics":"at_most_once","timeout_ms":800,"service":"desk"}"#,
+    "null"
+)]
 #[case::route_is_a_list(
     r#"{"host":"a.example","prefix":"/b/","semantics":"at_most_once","timeout_ms":800,"service":"desk"}"#,
     "[]"
