Config: a name that appears twice is refused

What callers saw: of two routes, services or fields with the same name in one JSON object, the last one silently replaced the first one. A configuration was confirmed of which a part is not in force, and a time-out of 0 or a negative weight was taken if another one followed it.

Cause (lenient parsing): maps keep the last of two entries.

Resources whose text is known are still not parsed again.

--- a/crates/config/src/canonical.rs
+++ b/crates/config/src/canonical.rs
@@ -6,6 +6,8 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 
+use crate::strict_json::StrictValue;
+
 /// Canonical forms of the resources of the latest full configuration, by the text that was submitted.
 ///
 /// Successive configurations differ in few resources; those with a known text are not parsed again.
@@ -19,7 +21,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a resource contains a number that can't be represented, or is nested too deeply.
+    /// Returns an error if a resource contains a number that can't be represented, or is nested too deeply, or names a
+    /// field twice.
     pub(crate) fn canonical_forms<'a>(
         &mut self,
         texts: impl Iterator<Item = &'a RawValue>,
@@ -34,7 +37,8 @@
                     form
                 }
                 (None, None) => {
-                    let form: Arc<str> = canonical_form(&serde_json::from_str(text)?).into();
+                    let form: Arc<str> =
+                        canonical_form(&serde_json::from_str::<StrictValue>(text)?.0).into();
                     self.forms.insert(text.into(), Arc::clone(&form));
                     form
                 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod patch;
 mod resource;
 mod revision;
+mod strict_json;
 mod subscription;
 mod versioned_document;
 
--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -16,6 +16,7 @@
 use crate::catalog::Submission;
 use crate::document::Document;
 use crate::resource::{CALLER_LIMITS, Kind, ResourceKey};
+use crate::strict_json::{strict_map, strict_object};
 
 /// The active full configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -37,13 +38,13 @@
     /// Number assigned by the operator.
     version: u64,
     /// Services by name.
-    #[serde(borrow)]
+    #[serde(borrow, deserialize_with = "strict_map")]
     services: RawResources<'a>,
     /// Routes by name.
-    #[serde(borrow)]
+    #[serde(borrow, deserialize_with = "strict_map")]
     routes: RawResources<'a>,
     /// Limits on what callers may send.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "strict_object")]
     limits: Map<String, Value>,
 }
 
