--- a/crates/config/tests/invalid_revisions.rs
+++ b/crates/config/tests/invalid_revisions.rs
@@ -134,6 +134,7 @@
 #[case::largest_number(r#""version":7"#, r#""version":18446744073709551615"#)]
 #[case::weight_of_zero_in_one_part(r#""weight":10"#, r#""weight":0"#)]
 #[case::fractional_weight(r#""weight":10"#, r#""weight":33.333333333333336"#)]
+#[case::fractional_timeout("1200", "1000.9999999999999")]
 #[case::timeout_of_many_digits("1200", "1137.0000000000002")]
 #[case::short_timeout("1200", "1")]
 #[case::one_service_twice_in_a_split(r#""service":"roster""#, r#""service":"desk""#)]
