Source: a configuration sent again may be spelled differently

What callers saw: a confirmed configuration that was sent again with other spaces, no other change made since, was refused with 412.

Cause (identity by representation): a resend was recognised by a digest of the bytes. The leader now accepts a configuration also if it has the number of the active one and changes nothing in it.

Only the leader's check changes, not the replicated state machine.

--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -23,6 +23,9 @@
 /// Number of submissions whose outcome is retained for resends.
 pub const RETAINED_OUTCOMES: usize = 100_000;
 
+/// Patch that changes nothing.
+const EMPTY_PATCH: &str = "{}";
+
 /// A submitted patch, as stored in the log.
 pub type Submission = wire::Submit;
 
@@ -162,6 +165,18 @@
         }
     }
 
+    /// Returns the outcome of a full configuration that is the active one.
+    ///
+    /// An operator that sends it again may spell it differently, which makes another operation id; its patch to the active
+    /// version changes nothing, though.
+    pub fn active_outcome(&self, submission: &Submission) -> Option<Outcome> {
+        let is_active = submission.revision != 0
+            && submission.revision == self.revision.number
+            && submission.after < submission.revision
+            && submission.patch == EMPTY_PATCH;
+        is_active.then_some(Outcome::Accepted(self.revision.version))
+    }
+
     /// Applies a submission and returns its outcome.
     pub fn apply(&mut self, submission: &Submission) -> Outcome {
         if let Some(outcome) = self.recorded_outcome(submission) {
--- a/crates/config/tests/revisions.rs
+++ b/crates/config/tests/revisions.rs
@@ -100,6 +100,25 @@
     assert_eq!(catalog.revision().number, 5);
 }
 
+/// A confirmed configuration that was sent again with other spaces was refused, as if another one were active.
+#[test]
+fn resend_may_be_spelled_differently() {
+    let mut catalog = Catalog::default();
+    let first = full_config(4, first_routes());
+    let accepted = submit(&mut catalog, 0, &first);
+    let resend = submission(&catalog, 0, &format!("{first:#}"));
+    assert_eq!(catalog.active_outcome(&resend), Some(accepted));
+    let other_number = submission(&catalog, 0, &full_config(5, first_routes()).to_string());
+    assert_eq!(catalog.active_outcome(&other_number), None);
+    let other_routes = submission(&catalog, 0, &full_config(4, json!({})).to_string());
+    assert_eq!(catalog.active_outcome(&other_routes), None);
+    let other_base = submission(&catalog, 4, &first.to_string());
+    assert_eq!(catalog.active_outcome(&other_base), None);
+    submit(&mut catalog, 4, &full_config(9, json!({})));
+    let late = submission(&catalog, 0, &format!("{first:#}"));
+    assert_eq!(catalog.active_outcome(&late), None, "another change was made since");
+}
+
 #[test]
 fn number_must_increase() {
     let mut catalog = Catalog::default();
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -80,7 +80,8 @@
             body.submission(*after, text, current, document, &mut self.canonical_cache);
         let mut submission = submission.map_err(Outcome::refused)?;
         submission.at_ms = wall_ms();
-        if let Some(outcome) = self.catalog.recorded_outcome(&submission) {
+        let recorded = || self.catalog.recorded_outcome(&submission);
+        if let Some(outcome) = self.catalog.active_outcome(&submission).or_else(recorded) {
             return Err(outcome);
         }
         if *after == current.number {
