--- a/crates/quorum/tests/consensus_model.rs
+++ b/crates/quorum/tests/consensus_model.rs
@@ -196,6 +196,27 @@
         cluster.heal_and_verify();
     }
 
+    /// Two members lose their disks while all others lose power, and what their disks had not synced.
+    #[test]
+    fn two_disks_are_lost(
+        seed in any::<u64>(),
+        steps in steps(),
+        first in 1..=5_u64,
+        distance in 1..5_u64,
+        kept in any::<usize>(),
+    ) {
+        let mut cluster = Cluster::with_leader(5, 0, seed);
+        run(&mut cluster, 5, &steps);
+        let lost = [first, (first + distance - 1) % 5 + 1];
+        for number in 1..=5 {
+            match lost.contains(&number) {
+                true => cluster.wipe(id(number)),
+                false => cluster.crash(id(number), kept.rotate_left(number as u32)),
+            }
+        }
+        cluster.heal_and_verify();
+    }
+
     #[test]
     fn changing_members(seed in any::<u64>(), steps in steps_with_changes()) {
         let mut cluster = Cluster::with_leader(3, 2, seed);
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -203,7 +203,7 @@
         let member = self.members.get_mut(&id).expect("the member exists");
         if let Some(store) = member.store.take() {
             let mut disk = store.into_folder();
-            disk.crash(kept);
+            disk.crash_keeping_names(kept, |at| kept.rotate_right(at as u32) & 1 == 1);
             member.disk = Some(disk);
         }
         member.pending_writes.clear();
