--- a/crates/cli/tests/fault_soak.rs
+++ b/crates/cli/tests/fault_soak.rs
@@ -22,6 +22,21 @@
     assert!(report.answered > 0 && report.versions > 1, "{report}");
 }
 
+/// Two members lose their disks right after a confirmation while all other processes, nodes too, are killed.
+#[rstest]
+#[case::two_of_five(9_001)]
+fn confirmed_version_outlives_disks(#[case] seed: u64) {
+    let report = run_soak(SoakOptions { members: 5, lost_disks: 2, ..SoakOptions::short(seed) });
+    assert!(
+        report.violations.is_empty(),
+        "{report}\n{:#?}\n{:#?}",
+        report.violations,
+        report.injected_faults
+    );
+    let is_lost = report.injected_faults.last().is_some_and(|fault| fault.contains("LoseDisks"));
+    assert!(is_lost && report.versions > 1, "{report}");
+}
+
 /// Probes that show something in a run of 25 s; four probers send one each 15 ms.
 const MIN_PROBES: usize = 1_000;
 
--- a/crates/testing/examples/fault_soak.rs
+++ b/crates/testing/examples/fault_soak.rs
@@ -44,6 +44,9 @@
     /// kill all processes right after the last confirmation
     #[argh(switch)]
     kill_at_end: bool,
+    /// number of members that lose their disks right after the last confirmation while all other processes are killed
+    #[argh(option, default = "0")]
+    lose_disks: usize,
     /// share of a processor that each member may use; 0 means no limit
     #[argh(option, default = "0.0")]
     member_share: f64,
@@ -79,6 +82,7 @@
             is_proxied: !arguments.direct,
             disk_faults: arguments.disk_faults,
             ends_with_kill: arguments.kill_at_end,
+            lost_disks: arguments.lose_disks,
             idle_routes,
             member_share,
             node_share,
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -266,6 +266,21 @@
         child.wait().expect("the exit status is read");
     }
 
+    /// Kills all running processes as nearly at the same moment as possible, and waits for their exit.
+    pub fn kill_all(&mut self) {
+        let mut children = std::mem::take(&mut self.running);
+        children.values_mut().for_each(|child| child.kill().expect("the process can be killed"));
+        for child in children.values_mut() {
+            child.wait().expect("the exit status is read");
+        }
+    }
+
+    /// Returns whether a member has a data folder.
+    pub fn has_data(&self, name: &str) -> bool {
+        let number = member_number(name).expect("the name of a member");
+        self.folder.path().join(format!("data-{number}")).exists()
+    }
+
     /// Deletes the data folder of a member that is not running; from then on it starts as a new member.
     pub fn wipe(&mut self, name: &str) {
         let number = member_number(name).expect("the name of a member");
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -3,6 +3,8 @@
 
 mod backend;
 mod faults;
+mod final_loss;
+mod invalid;
 mod leader_faults;
 mod load;
 mod planned_day;
@@ -59,6 +61,8 @@
     pub disk_faults: bool,
     /// Whether all processes are killed right after the last confirmation.
     pub ends_with_kill: bool,
+    /// Number of members that lose their disks right after the last confirmation while all other processes are killed.
+    pub lost_disks: usize,
     /// Longest pause between two faults.
     pub fault_interval: Duration,
     /// Longest time that a fault lasts.
@@ -86,6 +90,7 @@
             is_proxied: true,
             disk_faults: false,
             ends_with_kill: false,
+            lost_disks: 0,
             fault_interval: Duration::from_millis(600),
             longest_fault: Duration::from_millis(2_500),
             submit_interval: Duration::from_millis(150),
@@ -248,8 +253,10 @@
     }
     soak.perform_due(true);
     let processor_shares = soak.processor_shares();
-    if options.ends_with_kill {
-        soak.kill_all_after_confirmation();
+    match options.lost_disks {
+        0 if options.ends_with_kill => soak.kill_all_after_confirmation(),
+        0 => {}
+        disks => soak.lose_disks_after_confirmation(disks),
     }
     let recovery_time = check_recovery(&soak.site, &members, &callers, &observations);
     is_stopped.store(true, Ordering::Release);
@@ -357,7 +364,9 @@
     let is_current = |address: &String| {
         let expected = newest();
         let response = request_with_redirect(address, "GET", "/v1/revision", "", "");
-        response.status == 200 && response.json()["version"].as_u64().unwrap_or(0) >= expected
+        let shown = response.json();
+        final_loss::check_document(&shown, address, observations);
+        response.status == 200 && shown["version"].as_u64().unwrap_or(0) >= expected
     };
     let mut missing = String::from("no check has been made");
     while started_at.elapsed() < RECOVERY_LIMIT {
@@ -367,6 +376,7 @@
             (None, None) => {
                 let recovery_time = started_at.elapsed();
                 check_newest_version(site, observations);
+                final_loss::check_resends(&members, observations);
                 return recovery_time;
             }
             (Some(address), _) => format!("node {address} does not serve"),
--- a/crates/testing/src/soak/faults.rs
+++ b/crates/testing/src/soak/faults.rs
@@ -11,7 +11,7 @@
 use super::{ACTION_POLL_INTERVAL, Proxy, ProxyFault, Soak};
 
 /// Shortest time between two lost disks; the member that lost the first must have been replaced by then.
-const MIN_WIPE_INTERVAL: Duration = Duration::from_secs(9);
+pub(super) const MIN_WIPE_INTERVAL: Duration = Duration::from_secs(9);
 /// Time after its start within which a process may not have installed its signal handlers yet.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(300);
 /// Delay that [`Fault::Delay`] adds to a link.
@@ -23,7 +23,7 @@
 /// Longest time between two processes that are stopped in turn.
 const LONGEST_TURN: Duration = Duration::from_millis(1_300);
 /// Time until an empty member takes the place of one that is gone for good.
-const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+pub(super) const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
 /// Number of seeds in the settings of a process.
 const SEEDS: usize = 3;
 /// Time to wait for a confirmation before a fault that follows it.
@@ -32,8 +32,10 @@
 const MIN_MEASURED_TIME: Duration = Duration::from_secs(5);
 /// Upper bound of the room that [`Fault::FillDisk`] leaves in each file, in bytes.
 const LARGEST_ROOM: u64 = 4_000;
+/// Time after its start after which a member without a disk counts as repaired; 6 s on the large sites.
+pub(super) const CATCH_UP_TIME: Duration = Duration::from_secs(6);
 /// Time without power after the last fault.
-const DOWN_TIME: Duration = Duration::from_millis(1_200);
+pub(super) const DOWN_TIME: Duration = Duration::from_millis(1_200);
 
 /// Fault that is injected into a site.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -167,7 +169,7 @@
     }
 
     /// Returns the member that confirmed a version last.
-    fn confirmer(&self) -> Option<String> {
+    pub(super) fn confirmer(&self) -> Option<String> {
         let address = lock(&self.observations.confirmer).clone()?;
         self.site.member_at(&address)
     }
@@ -176,7 +178,7 @@
         self.start_times.get(name).is_some_and(|at| at.elapsed() < SIGNAL_SETUP_TIME)
     }
 
-    fn record_fault(&mut self, text: String) {
+    pub(super) fn record_fault(&mut self, text: String) {
         self.injected_faults.push(format!("{:.2} {text}", self.started_at.elapsed().as_secs_f64()));
     }
 
@@ -190,7 +192,7 @@
     }
 
     /// Kills a process, which is started again after a while.
-    fn kill(&mut self, name: &str, fault: Fault, down_time: Duration) {
+    pub(super) fn kill(&mut self, name: &str, fault: Fault, down_time: Duration) {
         self.begin_disturbance(name, fault);
         self.throttle.release(name);
         self.site.kill(name);
@@ -244,8 +246,8 @@
         }
     }
 
-    fn replace(&mut self, name: &str) {
-        self.site.kill(name);
+    /// Gives the place of a member that is not running to an empty one at another address, and returns its name.
+    pub(super) fn replace_stopped(&mut self, name: &str) -> String {
         self.site.remove(name);
         let new = self.site.add_member();
         self.start_proxies();
@@ -255,6 +257,12 @@
         addresses.push(self.site.operator_address_of(&new));
         drop(addresses);
         self.end_disturbances(name);
+        new
+    }
+
+    fn replace(&mut self, name: &str) {
+        self.site.kill(name);
+        let new = self.replace_stopped(name);
         self.begin_disturbance(&new, Fault::Replace);
         self.schedule(REPLACEMENT_TIME, Action::Start(new));
         self.wiped_at = Some(Instant::now());
@@ -328,7 +336,7 @@
     }
 
     /// Injects a fault that leaves the process running, or changes it for good.
-    fn disturb(&mut self, name: &str, fault: Fault) {
+    pub(super) fn disturb(&mut self, name: &str, fault: Fault) {
         self.begin_disturbance(name, fault);
         if matches!(fault, Fault::Wipe | Fault::Replace | Fault::Pause) {
             self.throttle.release(name);
@@ -403,7 +411,7 @@
         }
     }
 
-    fn start(&mut self, name: &str) {
+    pub(super) fn start(&mut self, name: &str) {
         self.renew_seeds(name);
         self.site.start_process(name);
         self.throttle(name);
@@ -412,7 +420,7 @@
     }
 
     /// Waits until another version is confirmed.
-    fn wait_for_confirmation(&self) {
+    pub(super) fn wait_for_confirmation(&self) {
         let count = || lock(&self.observations.confirmed).len();
         let (before, until) = (count(), Instant::now() + CONFIRMATION_TIMEOUT);
         while count() == before && Instant::now() < until {
@@ -427,8 +435,8 @@
         for name in &names {
             self.begin_disturbance(name, Fault::KillAllMembers);
             self.throttle.release(name);
-            self.site.kill(name);
         }
+        self.site.kill_all();
         self.record_fault("KillAll".to_owned());
         std::thread::sleep(DOWN_TIME);
         for name in &names {
@@ -452,7 +460,7 @@
     }
 
     /// Records that a process is disturbed from now on.
-    fn begin_disturbance(&mut self, process: &str, fault: Fault) {
+    pub(super) fn begin_disturbance(&mut self, process: &str, fault: Fault) {
         let is_restart = !matches!(fault, Fault::Pause | Fault::Reload) && !fault.is_on_links();
         self.disturbances.push(Disturbance {
             process: process.to_owned(),
--- a/crates/testing/src/soak/load.rs
+++ b/crates/testing/src/soak/load.rs
@@ -12,8 +12,8 @@
 use serde_json::{Value, json};
 
 use crate::plaintext_site::{RawResponse, follow_redirect, request_with_redirect};
-use crate::soak::SoakOptions;
 use crate::soak::probes::Probe;
+use crate::soak::{SoakOptions, invalid};
 
 /// Interval between the calls of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(8);
@@ -285,12 +285,12 @@
 
 /// A version that an operator submits.
 #[derive(Debug)]
-struct Submission {
-    base: u64,
-    number: u64,
-    document: Value,
+pub(super) struct Submission {
+    pub(super) base: u64,
+    pub(super) number: u64,
+    pub(super) document: Value,
     /// The version and those that it builds on, oldest first.
-    chain: Vec<u64>,
+    pub(super) chain: Vec<u64>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -324,7 +324,7 @@
         Outcome::Unclear
     }
 
-    fn put(&self, address: &str, body: &str) -> (String, RawResponse) {
+    pub(super) fn put(&self, address: &str, body: &str) -> (String, RawResponse) {
         let headers = format!("if-match: {}\r\n", self.base);
         follow_redirect(address, "PUT", "/v1/revision", &headers, body, OPERATOR_TIMEOUT)
     }
@@ -368,22 +368,8 @@
     while !is_stopped.load(Ordering::Acquire) {
         std::thread::sleep(INVALID_INTERVAL.mul_f64(rng.random_range(0.2..1.8)));
         let newest = lock(&observations.confirmed).keys().next_back().copied().unwrap_or(0);
-        let mut document = base_document(newest + OPERATORS * 3, 0);
-        let reads = &mut document["routes"]["reads"];
-        let kind = rng.random_range(0..6);
-        match kind {
-            0 => reads["service"] = json!("unknown"),
-            1 => reads["timeout_ms"] = json!(0),
-            2 => reads["semantics"] = json!("odd"),
-            3 => reads["prefix"] = json!("/book/"),
-            4 => document["version"] = json!(newest),
-            // The text is cut off below.
-            _ => {}
-        }
-        let mut body = document.to_string();
-        if kind == 5 {
-            body.truncate(body.len() - rng.random_range(1..40));
-        }
+        let document = base_document(newest + OPERATORS * 3, 0);
+        let body = invalid::spoil(document.clone(), newest, &mut rng);
         let submission = Submission { base: newest, number: 0, document, chain: Vec::new() };
         let address = member(members, rng.random_range(0..64));
         let (_, response) = submission.put(&address, &body);
