--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -16,6 +16,7 @@
 use crate::catalog::Submission;
 use crate::document::Document;
 use crate::resource::{CALLER_LIMITS, Kind, ResourceKey};
+use crate::strict_json::{strict_map, strict_object};
 
 /// The active full configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -37,20 +38,35 @@
     /// Number assigned by the operator.
     version: u64,
     /// Services by name.
-    #[serde(borrow)]
+    #[serde(borrow, deserialize_with = "strict_map")]
     services: RawResources<'a>,
     /// Routes by name.
-    #[serde(borrow)]
+    #[serde(borrow, deserialize_with = "strict_map")]
     routes: RawResources<'a>,
     /// Limits on what callers may send.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "strict_object")]
     limits: Map<String, Value>,
 }
 
 impl<'a> RevisionBody<'a> {
     /// Parses a full configuration from JSON text.
     pub fn parse(text: &'a [u8]) -> Result<Self, Faults> {
-        serde_json::from_slice(text).map_err(|error| malformed(&error))
+        let body: Self = serde_json::from_slice(text).map_err(|error| malformed(&error))?;
+        let mut faults = Faults::default();
+        if body.version == 0 {
+            let detail = "0 stands for no configuration; use a number above the active one";
+            faults.push(ResultCode::PatchBadValue, "version", detail);
+        }
+        let kinds = [(Kind::Services, &body.services), (Kind::Routes, &body.routes)];
+        for (kind, resources) in kinds {
+            let removed = resources.iter().filter(|(_, text)| text.get() == "null");
+            for (name, _) in removed {
+                let detail = "null is not a resource; leave out what is to be removed";
+                let path = ResourceKey::new(kind, name).to_string();
+                faults.push(ResultCode::PatchWrongType, path, detail);
+            }
+        }
+        faults.into_result(body)
     }
 
     /// Returns the number assigned by the operator.
