Daemon: a call whose body arrives slowly ends with its route's timeout

Callers saw: a call whose body had not arrived completely got no answer at its route's timeout. A body of up to 128 KiB was awaited without any limit of time; one whose end never came held its place on the node until its caller left.

Cause: the timeout was applied to each attempt (forward::send) and to the answer's body, but not to the time before the first attempt, in which the node reads the body into its buffer. Class of fault: a limit that covers the stages of a call one by one, and not the time between its arrival and its end.

Why it works: the read of the body ends at the same time as the call; nothing has been sent to a target by then, so the refusal is true. Bodies beyond 128 KiB are streamed within an attempt, which had its limit.

Whether the users' callers send such bodies is not known.

--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -95,8 +95,9 @@
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
     worker.shared.limit_to_shutdown(time, route.objective)?;
-    let body = Body::read(incoming, view.limits().max_body_size.get()).await;
-    let body = body.map_err(ResultCode::from)?;
+    let body = Body::read(incoming, view.limits().max_body_size.get());
+    let body = tokio::time::timeout_at((started_at + time).into(), body).await;
+    let body = body.map_err(|_elapsed| ResultCode::DeadlineBefore)?.map_err(ResultCode::from)?;
     let call = make_call(&worker.shared, parts, body, route, started_at, time);
     let name = route.draw_service(&mut rand::rng());
     let service = view.service(name.as_str()).ok_or(ResultCode::NoTarget)?;
