--- a/crates/quorum/tests/automatic_membership.rs
+++ b/crates/quorum/tests/automatic_membership.rs
@@ -53,6 +53,8 @@
     groups: BTreeSet<u64>,
     /// Member that receives no messages, and until when.
     deaf: Option<(String, u64)>,
+    /// Processes that are cut off from all others.
+    cut: BTreeSet<String>,
 }
 
 fn address(number: usize) -> String {
@@ -69,6 +71,7 @@
             started: 0,
             groups: BTreeSet::new(),
             deaf: None,
+            cut: BTreeSet::new(),
         };
         for number in 1..=count {
             simulation.start(&address(number), true);
@@ -163,7 +166,7 @@
 
     fn broadcast_offer(&mut self, from: &str, message: &Peer) {
         for at in self.processes.keys().cloned().collect::<Vec<_>>() {
-            if at != from {
+            if at != from && !self.cut.contains(from) {
                 self.deliver(&at, message.clone());
             }
         }
@@ -192,7 +195,9 @@
             Effect::Send { to, message } => {
                 let recipient = self.processes.iter().find(|(_, p)| p.voter.id == to.get());
                 let Some(to) = recipient.map(|(at, _)| at.clone()) else { return };
-                self.deliver(&to, *message);
+                if !self.cut.contains(at) {
+                    self.deliver(&to, *message);
+                }
             }
             Effect::Apply { entry, .. } => {
                 if let Some(entry::Body::Command(command)) = entry.body {
@@ -204,6 +209,9 @@
     }
 
     fn deliver(&mut self, at: &str, message: Peer) {
+        if self.cut.contains(at) {
+            return;
+        }
         let now = self.now;
         let Some(process) = self.processes.get_mut(at) else { return };
         match (&mut process.stage, &message.body) {
@@ -450,6 +458,28 @@
     );
 }
 
+/// While all members were cut off from each other, no leader could have heard any of them; those whose links come back a
+/// moment after the others' lost their votes at once, though each had been out of reach of a leader for 5 s at most.
+#[rstest]
+fn time_without_leader_is_no_silence(#[values(5, 6)] count: usize) {
+    let mut simulation = Simulation::new(count);
+    simulation.run(SETTLE_TIME);
+    assert!(simulation.commit(b"first"));
+    let all: Vec<_> = (1..=count).map(address).collect();
+    assert_eq!(simulation.voters(), all);
+    simulation.cut.extend(all.iter().cloned());
+    simulation.run(15_000);
+    let majority = count / 2 + 1;
+    simulation.cut.retain(|at| !all[..majority].contains(at));
+    // Members that are silent for 6 s may be removed.
+    for _ in 0..50 {
+        simulation.run(100);
+        let voters = simulation.voters();
+        assert!(voters.is_empty() || voters == all, "{voters:?}");
+    }
+    assert!(!simulation.voters().is_empty(), "a majority elects a leader within 5 s");
+}
+
 #[test]
 fn restarted_seeds_form_no_second_group() {
     let mut simulation = Simulation::new(3);
