Quorum: only the time of leaders counts as silence of a member

Found by the review of "a new leader goes on counting the silence of lost members", by reading: followers kept the time at which an earlier leader had heard of each member, and a new leader counted from there, also over the time in which there was no leader that could have heard anybody. After 13 s in which all members were cut off from each other, members whose links came back a moment after the others' lost their votes a second after the election; two lost disks could then leave no majority for good. A member that had been cut off itself took its own absence for the others'.

Appends still say for how long the leader has not heard of each member. Followers keep that duration, not a time; a new leader counts it from its election, forgets it for members that granted it their vote or have answered it, and keeps it at the end only up to when a majority had answered it last.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -151,6 +151,10 @@
     }
 
     fn become_leader(&mut self) {
+        if let Role::Candidate { granted } = &self.role {
+            let granted = granted.clone();
+            self.forget_silences(&granted);
+        }
         let next_index = self.log.last_index() + 1;
         let members = self.log.membership();
         let others = members.voters.iter().chain(&members.learners).map(|v| MemberId::new(v.id));
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -144,8 +144,10 @@
     unread_until: Millis,
     /// Highest committed index that each member, with its disk, is known to have stored.
     pub(crate) watermarks: BTreeMap<(MemberId, u64), u64>,
-    /// When a leader last heard of each member, with its disk, on this member's clock.
-    contacts: BTreeMap<(MemberId, u64), Millis>,
+    /// For how long leaders had not heard of each member, with its disk, when they were last heard themselves.
+    ///
+    /// Time without a leader, in which nobody could hear of a member, doesn't count.
+    silences: BTreeMap<(MemberId, u64), Millis>,
     pub(crate) disk_verification: DiskVerification,
     pub(crate) effects: Vec<Effect>,
     /// Members whose disk has been reported as unknown or as lacking entries.
@@ -200,7 +202,7 @@
             now,
             unread_until: now,
             watermarks: BTreeMap::new(),
-            contacts: BTreeMap::new(),
+            silences: BTreeMap::new(),
             disk_verification,
             effects: Vec::new(),
             reported_disks: BTreeSet::new(),
@@ -305,34 +307,48 @@
         contacts.into_iter().map(|(id, at)| (id, at.max(earliest))).collect()
     }
 
-    /// Returns when this leader heard of each other member, or an earlier leader did, or else its election.
+    /// Returns when this leader heard of each other member; for those that have not answered it, the time is before its
+    /// election by the silence that earlier leaders noticed.
     pub(crate) fn known_contacts(&self) -> BTreeMap<MemberId, Millis> {
         let Role::Leader(leader) = &self.role else { return BTreeMap::new() };
         let last_contact = |id: &MemberId, progress: &Progress| {
             let own = progress.acked_ms.max(progress.started_ms);
-            let earlier = self.membership().member(*id);
-            let earlier = earlier.and_then(|voter| self.contacts.get(&(*id, voter.disk)));
-            match earlier {
-                Some(at) if own <= leader.elected_at => *at,
+            match own {
+                0 => leader.elected_at.saturating_sub(self.noticed_silence(*id)),
                 _ => own.max(leader.elected_at),
             }
         };
         leader.progress.iter().map(|(id, p)| (*id, last_contact(id, p))).collect()
     }
 
+    /// Returns for how long earlier leaders had not heard of a member.
+    fn noticed_silence(&self, id: MemberId) -> Millis {
+        let voter = self.membership().member(id);
+        let silence = voter.and_then(|voter| self.silences.get(&(id, voter.disk)));
+        silence.copied().unwrap_or(0)
+    }
+
     /// Records for how long the leader has not heard of the members, in case this member leads next.
     pub(crate) fn note_silences(&mut self, marks: &[Watermark]) {
-        let now = self.now;
-        let at = |mark: &Watermark| now.saturating_sub(mark.silent_ms);
-        let contacts = marks.iter().map(|mark| ((MemberId::new(mark.id), mark.disk), at(mark)));
-        self.contacts = contacts.collect();
+        let silences = marks.iter().map(|m| ((MemberId::new(m.id), m.disk), m.silent_ms));
+        self.silences = silences.collect();
+    }
+
+    /// Forgets the silence of members that have just granted this member their vote.
+    pub(crate) fn forget_silences(&mut self, granted: &BTreeSet<MemberId>) {
+        self.silences.retain(|(id, _), _| !granted.contains(id));
     }
 
     /// Keeps what this leader knows of the silence of the members, in case it leads again.
-    fn keep_contacts(&mut self) {
+    fn keep_silences(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        // Since then the leader may have been cut off itself.
+        let heard_at = self.lease_start(leader).max(leader.elected_at);
         let known = self.known_contacts().into_iter();
         let disk = |id: MemberId| self.membership().member(id).map(|voter| voter.disk);
-        self.contacts = known.filter_map(|(id, at)| Some(((id, disk(id)?), at))).collect();
+        let silences =
+            known.filter_map(|(id, at)| Some(((id, disk(id)?), heard_at.saturating_sub(at))));
+        self.silences = silences.collect();
     }
 
     /// Returns whether a membership change is uncommitted, or the leader has not committed an entry of its term.
@@ -669,7 +685,7 @@
             false if silent_ms >= self.timing.election => StepDownReason::NoMajority,
             false => StepDownReason::Retired,
         };
-        self.keep_contacts();
+        self.keep_silences();
         let Role::Leader(leader) = &mut self.role else { return };
         let pending = std::mem::take(&mut leader.pending_proposals);
         let term = self.hard_state.term;
