--- a/crates/cli/tests/fault_soak.rs
+++ b/crates/cli/tests/fault_soak.rs
@@ -44,3 +44,35 @@
     );
     assert!(report.probes > MIN_PROBES, "{report}");
 }
+
+/// Calls that show which versions may be in force, in a run of 25 s with four callers of changing routes.
+const MIN_TELLING: usize = 200;
+/// Calls of steady state on the first routes, and on later ones, from which on their shares count.
+const MIN_SERVED: usize = 20;
+/// Calls without an answer from their targets from which on the fraction that is answered in time counts.
+const MIN_OUTLASTING: usize = 8;
+
+/// Changes of existing routes are in force in time and never taken back, later routes are served, and calls end with their
+/// route's timeout.
+#[test]
+fn changed_routes_hold() {
+    let options = SoakOptions {
+        steady_time: Duration::from_secs(13),
+        fault_duration: Duration::from_secs(12),
+        fault_interval: Duration::from_secs(5),
+        longest_fault: Duration::from_secs(4),
+        idle_routes: 100,
+        ..SoakOptions::calm(20_261_206, 3, 4)
+    };
+    let report = run_soak(options);
+    assert!(
+        report.violations.is_empty(),
+        "{report}\n{:#?}\n{:#?}",
+        report.violations,
+        report.injected_faults
+    );
+    let changes = &report.changes;
+    let later: usize = changes.later.values().map(|(sent, _)| sent).sum();
+    assert!(changes.telling > MIN_TELLING && changes.outlasting.0 >= MIN_OUTLASTING, "{report}");
+    assert!(changes.first.0 >= MIN_SERVED && later >= MIN_SERVED, "{report}");
+}
--- a/crates/testing/src/soak/route_changes.rs
+++ b/crates/testing/src/soak/route_changes.rs
@@ -32,6 +32,8 @@
 const TIMEOUTS: [u64; 2] = [400, 900];
 /// Weights of the split, in turn.
 const WEIGHTS: [[u64; 2]; 3] = [[90, 10], [50, 50], [20, 80]];
+/// Phases during which the weights stay the same.
+const WEIGHT_PHASES: u64 = 3;
 /// Time after a route's timeout by which a call has its final answer.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Calls that outlast their timeout from which on their fraction without a timely answer counts; it may be a quarter.
@@ -79,7 +81,7 @@
 }
 
 fn weights(version: u64) -> [u64; 2] {
-    WEIGHTS[(version / PHASE_LENGTH % 3) as usize]
+    WEIGHTS[(version / (PHASE_LENGTH * WEIGHT_PHASES) % 3) as usize]
 }
 
 /// Adds the changing routes and their services to the document of a version.
@@ -416,42 +418,69 @@
 
     /// Checks the shares of the parts of a split against their weights.
     fn check_shares(&self) -> BTreeMap<u64, (usize, f64)> {
-        let mut counts: BTreeMap<u64, (usize, [usize; 2])> = BTreeMap::new();
+        let mut counts: BTreeMap<u64, SplitCount> = BTreeMap::new();
         for call in self.calls.iter().filter(|call| call.kind == Kind::Split) {
             let versions = self.possible(call, self.floor(call));
             let mut possible: Vec<[u64; 2]> = versions.map(weights).collect();
             possible.dedup();
-            let ([weights], true) = (&possible[..], self.is_steady(call)) else { continue };
-            let count = counts.entry(weights[0]).or_default();
-            count.0 += 1;
-            match call.service {
-                Some("desk") => count.1[0] += 1,
-                Some("annex") => count.1[1] += 1,
-                _ => {}
-            }
+            let ([[weight, _]], true) = (&possible[..], self.is_steady(call)) else { continue };
+            counts.entry(*weight).or_default().add(SplitCount {
+                sent: 1,
+                desk: usize::from(call.service == Some("desk")),
+                annex: usize::from(call.service == Some("annex")),
+                expected: *weight as f64 / 100.0,
+            });
         }
         let mut shares = BTreeMap::new();
-        for (weight, (sent, [desk, annex])) in counts {
-            let (served, sent_f) = (desk + annex, sent as f64);
-            let share = desk as f64 / served.max(1) as f64;
-            shares.insert(weight, (sent, share));
-            let expected = weight as f64 / 100.0;
-            let is_refused = sent_f - served as f64 > sent_f * MAX_REFUSED;
-            let is_off = match is_refused {
-                // A part that is short of room may refuse calls; none may move to the other part.
-                true => {
-                    desk as f64 / sent_f > expected + SHARE_TOLERANCE
-                        || annex as f64 / sent_f > 1.0 - expected + SHARE_TOLERANCE
-                }
-                false => (share - expected).abs() > SHARE_TOLERANCE,
-            };
-            if sent >= MIN_SPLIT && is_off {
-                self.observations.record_violation(format!(
-                    "of {sent} calls, {desk} and {annex} ran at the parts of a split with the weights {weight} and {}",
-                    100 - weight
-                ));
-            }
+        let mut total = SplitCount::default();
+        for (weight, count) in counts {
+            shares.insert(weight, (count.sent, count.share()));
+            total.add(count);
+            self.check_share(count);
         }
+        self.check_share(total);
         shares
     }
+
+    fn check_share(&self, count: SplitCount) {
+        if count.sent >= MIN_SPLIT && count.is_off() {
+            let text = format!("the shares of a split differ from its weights: {count:?}");
+            self.observations.record_violation(text);
+        }
+    }
+}
+
+/// Calls on a split, and how many ran at each part.
+#[derive(Debug, Clone, Copy, Default)]
+struct SplitCount {
+    sent: usize,
+    desk: usize,
+    annex: usize,
+    /// Calls that should have run at the first part.
+    expected: f64,
+}
+
+impl SplitCount {
+    fn add(&mut self, other: Self) {
+        self.sent += other.sent;
+        self.desk += other.desk;
+        self.annex += other.annex;
+        self.expected += other.expected;
+    }
+
+    /// Returns the share of the first part of all calls that ran.
+    fn share(&self) -> f64 {
+        self.desk as f64 / (self.desk + self.annex).max(1) as f64
+    }
+
+    fn is_off(&self) -> bool {
+        let sent = self.sent as f64;
+        let (desk, annex, expected) =
+            (self.desk as f64 / sent, self.annex as f64 / sent, self.expected / sent);
+        match desk + annex < 1.0 - MAX_REFUSED {
+            // A part that is short of room may refuse calls; none may move to the other part.
+            true => desk > expected + SHARE_TOLERANCE || annex > 1.0 - expected + SHARE_TOLERANCE,
+            false => (self.share() - expected).abs() > SHARE_TOLERANCE,
+        }
+    }
 }
