Tests: cut off a submission by ending the other members

submission_without_id_is_not_redirected paused the others, so that the submission waited in their sockets, and counted on them to elect another leader before they read it.

Now the others are killed before the submission and started once the leader is paused: it can't reach them, and the leader loses the lead while it is in flight. Not run: the test on code that redirects such a submission.

--- a/crates/cli/tests/refused_writes.rs
+++ b/crates/cli/tests/refused_writes.rs
@@ -94,20 +94,20 @@
 /// redirect depends on the election, so there are several tries.
 #[test]
 fn submission_without_id_is_not_redirected() {
-    let site = PlaintextSite::start(3, &[]);
+    let mut site = PlaintextSite::start(3, &[]);
     assert_eq!(submit(&site, 0), 1);
     for _ in 0..INTERRUPTED_SUBMISSIONS {
         let leader = site.wait("a leader", PlaintextSite::leader);
         let others: Vec<usize> = (1..=3).filter(|number| *number != leader).collect();
-        let signal = |number: &usize, signal| site.signal(&format!("core-{number}"), signal);
         let head = site.operator_request("GET", "/v1/versions", "", "").json()["head"].as_u64();
-        others.iter().for_each(|number| signal(number, "-STOP"));
+        // Members that only stand still would read, and store, the submission before they elect another leader.
+        others.iter().for_each(|number| site.kill(&format!("core-{number}")));
         let address = site.operator_address(leader);
         let response = std::thread::scope(|scope| {
             let response = scope.spawn(|| submit_without_id(&address, head.unwrap_or(0)));
             std::thread::sleep(IN_FLIGHT_TIME);
-            signal(&leader, "-STOP");
-            others.iter().for_each(|number| signal(number, "-CONT"));
+            site.signal(&format!("core-{leader}"), "-STOP");
+            others.iter().for_each(|number| site.start_process(&format!("core-{number}")));
             site.wait("another leader", |site| {
                 let role = |number: &usize| {
                     let address = site.operator_address(*number);
@@ -115,7 +115,7 @@
                 };
                 others.iter().any(|number| role(number) == "leader").then_some(())
             });
-            signal(&leader, "-CONT");
+            site.signal(&format!("core-{leader}"), "-CONT");
             response.join().expect("a response")
         });
         let run = response.json()["run"].clone();
