--- a/crates/cli/tests/early_moves.rs
+++ b/crates/cli/tests/early_moves.rs
@@ -25,6 +25,8 @@
     };
     let early = order("desk");
     assert_eq!(early.status, 503, "{early:?}");
+    // A member without a leader answers 503 as well.
+    assert!(String::from_utf8_lossy(&early.body).contains("no target"), "{early:?}");
     let unknown = order("other");
     assert_eq!(unknown.status, 404, "{unknown:?}");
     assert_eq!(report_desk(&site, "node-1", &target, &json!({})).status, 200);
--- a/crates/testing/src/soak.rs
+++ b/crates/testing/src/soak.rs
@@ -398,6 +398,11 @@
         missing = match (failing, behind) {
             (None, None) => {
                 let recovery_time = started_at.elapsed();
+                if recovery_time > RECOVERY_LIMIT {
+                    observations.record_violation(format!(
+                        "recovery took {recovery_time:.1?}; the last checks before that: {missing}"
+                    ));
+                }
                 check_newest_version(site, observations);
                 final_loss::check_resends(&members, observations);
                 return recovery_time;
