Soak: settings files are replaced in one step

The soak changes the seeds in all settings, and wrote the files in place; a member that had been killed was started in that moment, read an empty file and ended. The mistake is the soak's: the file is renamed into place now. Whether a site's settings are ever written in place is not known; a process that starts then would end with that message.

--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -503,7 +503,10 @@
 
     fn write_settings(&mut self, name: &str, settings: &Value) {
         let path = self.folder.path().join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string()).expect("the file can be written");
+        // A process that starts in this moment must not read half of the file.
+        let written = path.with_extension("new");
+        std::fs::write(&written, settings.to_string()).expect("the file can be written");
+        std::fs::rename(&written, &path).expect("the file can be renamed");
         self.settings.insert(name.to_owned(), path.to_string_lossy().into_owned());
     }
 }
