--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod operator;
 mod plaintext_site;
+mod platform_settings;
 mod process;
 mod scripted;
 mod site;
@@ -29,6 +30,6 @@
 pub use site::{Response, Site, SiteBuilder};
 pub use soak::{
     ChangeReport, LeaderFault, LeaderFaultOptions, OrderKind, PlannedDayOptions, PlannedDayReport,
-    PlannedOrder, Proxy, ProxyFault, SoakOptions, SoakReport, run_leader_faults, run_planned_day,
-    run_soak,
+    PlannedOrder, PlatformDayOptions, PlatformDayReport, Proxy, ProxyFault, SoakOptions,
+    SoakReport, run_leader_faults, run_planned_day, run_platform_day, run_soak,
 };
--- a/crates/testing/src/operator.rs
+++ b/crates/testing/src/operator.rs
@@ -94,10 +94,12 @@
     }
 }
 
-/// An operator that knows the addresses of all members.
+/// An operator with a list of members.
 #[derive(Debug)]
 pub struct Operator {
     addresses: Vec<String>,
+    /// Number of further members in the operator's list that are gone.
+    gone: usize,
     rng: SmallRng,
     loss_rate: LossRate,
 }
@@ -105,7 +107,15 @@
 impl Operator {
     /// Creates an operator that picks members at random.
     pub fn new(addresses: Vec<String>, seed: u64) -> Self {
-        Self { addresses, rng: SmallRng::seed_from_u64(seed), loss_rate: LossRate::default() }
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { addresses, gone: 0, rng, loss_rate: LossRate::default() }
+    }
+
+    /// Sets how many members in the operator's list are gone; attempts there get no response.
+    #[must_use]
+    pub fn with_gone(mut self, gone: usize) -> Self {
+        self.gone = gone;
+        self
     }
 
     /// Sets how many of the clear responses the operator doesn't receive.
@@ -119,12 +129,20 @@
     /// refused.
     pub fn send(&mut self, order: &Order) -> OrderReport {
         let started_at = Instant::now();
-        let mut next = self.rng.random_range(0..self.addresses.len());
+        let count = self.addresses.len() + self.gone;
+        let mut next = self.rng.random_range(0..count);
         let mut pause = FIRST_PAUSE;
         let mut attempts = Vec::new();
         loop {
-            let address = self.addresses[next].clone();
-            let response = send_once(order, address, started_at, &mut attempts);
+            let response = match self.addresses.get(next) {
+                Some(address) => send_once(order, address.clone(), started_at, &mut attempts),
+                None => {
+                    let (sent_after, address) = (started_at.elapsed(), "gone".to_owned());
+                    attempts.push(Attempt { sent_after, address, status: 0 });
+                    std::thread::sleep(RESPONSE_TIMEOUT);
+                    RawResponse::default()
+                }
+            };
             let is_clear = match response.status {
                 408 | 429 => false,
                 200..500 => !self.rng.random_bool(self.loss_rate.0),
@@ -135,7 +153,7 @@
             }
             std::thread::sleep(pause);
             pause *= 2;
-            next = (next + 1) % self.addresses.len();
+            next = (next + 1) % count;
         }
     }
 }
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -11,7 +11,8 @@
 use tempfile::TempDir;
 
 use crate::addresses::AddressPool;
-use crate::process::spawn;
+use crate::platform_settings::{self, PLATFORM_PORTS};
+use crate::process::{spawn, spawn_with_slow_reader};
 
 /// Longest time that a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -101,6 +102,10 @@
     election_timeout: Option<Duration>,
     proxied_addresses: Vec<ProxiedAddress>,
     nodes: BTreeMap<String, NodeAddresses>,
+    /// Whether the settings are rendered from the platform's templates.
+    is_rendered: bool,
+    /// Whether the logs go to pipes that are read slowly.
+    has_slow_logs: bool,
     settings: BTreeMap<String, String>,
     running: BTreeMap<String, Child>,
 }
@@ -151,13 +156,12 @@
             election_timeout,
             proxied_addresses: Vec::new(),
             nodes: BTreeMap::new(),
+            is_rendered: false,
+            has_slow_logs: false,
             settings: BTreeMap::new(),
             running: BTreeMap::new(),
         };
-        for number in 1..=members {
-            let settings = site.member_settings(number, true);
-            site.write_settings(&format!("core-{number}"), &settings);
-        }
+        site.write_member_settings();
         for (i, target) in targets.iter().enumerate() {
             let settings = site.node_settings(i + 1, *target);
             site.write_settings(&format!("node-{}", i + 1), &settings);
@@ -165,6 +169,49 @@
         site
     }
 
+    /// Writes the settings of members and of a node for each target's service, rendered from the platform's templates.
+    pub(crate) fn prepare_rendered(members: usize, services: &[&str]) -> Self {
+        let mut site = Self::prepare(0, &[], false, None);
+        site.hosts = (0..members).map(|_| AddressPool::new().host().to_owned()).collect();
+        site.advertised_hosts = site.hosts.clone();
+        site.is_rendered = true;
+        site.write_member_settings();
+        for (i, service) in services.iter().enumerate() {
+            let host = AddressPool::new().host().to_owned();
+            let name = format!("node-{}", i + 1);
+            let seeds = site.seeds();
+            let settings = platform_settings::node(&name, site_zone(i + 1), &host, &seeds, service);
+            site.write_settings(&name, &settings);
+            let address = |port: u16| format!("{host}:{port}");
+            let addresses = NodeAddresses {
+                callers: address(PLATFORM_PORTS.outbound),
+                admin: address(PLATFORM_PORTS.admin),
+                ready: address(PLATFORM_PORTS.readiness),
+            };
+            site.nodes.insert(name, addresses);
+        }
+        site
+    }
+
+    /// Lets the processes that are started from now on write their logs to pipes that are read slowly.
+    pub(crate) fn slow_down_logs(&mut self) {
+        self.has_slow_logs = true;
+    }
+
+    /// Returns the address of the target next to a node whose settings are rendered.
+    pub(crate) fn rendered_target(&self, node: &str) -> SocketAddr {
+        let admin: SocketAddr = self.nodes[node].admin.parse().expect("an address");
+        SocketAddr::new(admin.ip(), PLATFORM_PORTS.app)
+    }
+
+    /// Writes the settings of all members, for their first start.
+    fn write_member_settings(&mut self) {
+        for number in 1..=self.hosts.len() {
+            let settings = self.member_settings(number, true);
+            self.write_settings(&format!("core-{number}"), &settings);
+        }
+    }
+
     /// Returns the addresses for which the test must run proxies.
     pub fn proxied_addresses(&self) -> &[ProxiedAddress] {
         &self.proxied_addresses
@@ -255,7 +302,8 @@
     pub fn start_process(&mut self, name: &str) {
         let arguments = ["--settings".to_owned(), self.settings[name].clone()];
         let log = self.folder.path().join(format!("{name}.log"));
-        let child = spawn("kingcupliftd", &arguments, self.folder.path(), &log);
+        let start = if self.has_slow_logs { spawn_with_slow_reader } else { spawn };
+        let child = start("kingcupliftd", &arguments, self.folder.path(), &log);
         self.running.insert(name.to_owned(), child);
     }
 
@@ -430,14 +478,14 @@
         self.settings.keys().map(|name| self.log(name)).collect::<Vec<_>>().join("\n")
     }
 
+    /// Returns the addresses of the members that processes know at their start.
+    fn seeds(&self) -> Vec<String> {
+        let hosts = self.advertised_hosts.iter().take(3);
+        hosts.map(|host| format!("{host}:{HTTP_PORT}")).collect()
+    }
+
     fn link_settings(&self) -> Value {
-        let seeds: Vec<String> = self
-            .advertised_hosts
-            .iter()
-            .take(3)
-            .map(|host| format!("{host}:{HTTP_PORT}"))
-            .collect();
-        json!({ "security": "open", "seeds": seeds, "source_port": SOURCE_PORT,
+        json!({ "security": "open", "seeds": self.seeds(), "source_port": SOURCE_PORT,
             "relay_port": RELAY_PORT })
     }
 
@@ -445,13 +493,18 @@
         let (host, advertised) =
             (self.hosts[number - 1].clone(), self.advertised_hosts[number - 1].clone());
         let name = format!("core-{number}");
+        if self.is_rendered {
+            let data = format!("data-{number}");
+            let zone = site_zone(number);
+            return platform_settings::member(&name, zone, &host, &self.seeds(), &data, is_first);
+        }
         let mut advertise_port = |port: u16| {
             self.advertise(&name, format!("{advertised}:{port}"), &format!("{host}:{port}"))
         };
         let (source, relay) = (advertise_port(SOURCE_PORT), advertise_port(RELAY_PORT));
         json!({
             "name": format!("core-{number}"),
-            "zone": ZONES[(number - 1) % ZONES.len()],
+            "zone": site_zone(number),
             "roles": ["source", "relay"],
             "log": { "format": "json" },
             "links": self.link_settings(),
@@ -481,7 +534,7 @@
         let advertise = self.advertise(&name, AddressPool::new().next(), &peers);
         json!({
             "name": name,
-            "zone": ZONES[(number - 1) % ZONES.len()],
+            "zone": site_zone(number),
             "roles": ["node"],
             "log": { "format": "json" },
             "links": self.link_settings(),
@@ -521,6 +574,11 @@
     }
 }
 
+/// Returns the availability zone of the process with a number.
+fn site_zone(number: usize) -> &'static str {
+    ZONES[(number - 1) % ZONES.len()]
+}
+
 /// Returns the number in the name of a member.
 pub(crate) fn member_number(name: &str) -> Option<usize> {
     name.strip_prefix("core-")?.parse().ok()
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -1,8 +1,14 @@
 //! Starts the programs under test as child processes.
 
 use std::fs::File;
+use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Bytes that a slow reader of a log takes at once, and its pause between them.
+const SLOW_READ_BYTES: usize = 256;
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(250);
 
 /// Returns the path of a binary or example that was built with the tests.
 pub fn binary(name: &str) -> PathBuf {
@@ -29,3 +35,33 @@
         .spawn()
         .expect("the program starts")
 }
+
+/// Starts a program in `folder` as [`spawn`] does; its standard output passes through a pipe that is read slowly.
+pub(crate) fn spawn_with_slow_reader(
+    program: &str,
+    arguments: &[String],
+    folder: &Path,
+    log: &Path,
+) -> Child {
+    let mut log =
+        File::options().create(true).append(true).open(log).expect("the log can be opened");
+    let mut child = Command::new(binary(program))
+        .args(arguments)
+        .current_dir(folder)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(log.try_clone().expect("the log handle can be duplicated"))
+        .spawn()
+        .expect("the program starts");
+    let mut output = child.stdout.take().expect("the output is a pipe");
+    std::thread::spawn(move || {
+        let mut bytes = [0; SLOW_READ_BYTES];
+        while let Ok(count @ 1..) = output.read(&mut bytes) {
+            if log.write_all(&bytes[..count]).is_err() {
+                return;
+            }
+            std::thread::sleep(SLOW_READ_PAUSE);
+        }
+    });
+    child
+}
--- a/crates/testing/src/soak/planned_day.rs
+++ b/crates/testing/src/soak/planned_day.rs
@@ -27,9 +27,9 @@
 /// Time from the start of the processes to the first order.
 const FIRST_ORDER_DELAY: Duration = Duration::from_millis(500);
 /// Time from the start of the processes to the first calls.
-const LOAD_DELAY: Duration = Duration::from_secs(8);
+pub(super) const LOAD_DELAY: Duration = Duration::from_secs(8);
 /// Times of the orders after the first calls, in seconds.
-const ORDER_TIMES: [f64; 7] = [2.0, 5.0, 10.0, 15.0, 20.0, 25.0, 33.0];
+pub(super) const ORDER_TIMES: [f64; 7] = [2.0, 5.0, 10.0, 15.0, 20.0, 25.0, 33.0];
 /// Times at which the disk of the member that has confirmed last begins to refuse writes, in seconds.
 const FAULT_TIMES: [f64; 3] = [4.0, 14.0, 24.0];
 /// Time for which a disk refuses writes.
@@ -112,7 +112,8 @@
     let throttle = Throttle::default();
     let (limits, stop) = (throttle.clone(), Arc::clone(&is_over));
     let mut threads = vec![std::thread::spawn(move || limits.run(&stop))];
-    start_shuffled(&mut site, options, &throttle, &mut rng);
+    let shares = (options.member_share, options.node_share);
+    start_shuffled(&mut site, shares, &throttle, &mut rng);
     let started_at = Instant::now();
     for (number, backend) in backends.iter().enumerate() {
         backend.start_reporting(site.addresses(&format!("node-{}", number + 1)).admin.clone());
@@ -151,10 +152,10 @@
     PlannedDayReport { orders, departures, violations, logs: site.logs() }
 }
 
-/// Starts all processes in a random order.
-fn start_shuffled(
+/// Starts all processes in a random order; each member and each node may use its share of a processor.
+pub(super) fn start_shuffled(
     site: &mut PlaintextSite,
-    options: PlannedDayOptions,
+    (member_share, node_share): (f64, f64),
     throttle: &Throttle,
     rng: &mut SmallRng,
 ) {
@@ -163,7 +164,7 @@
     for name in &names {
         site.start_process(name);
         let is_member = name.starts_with("core");
-        let share = if is_member { options.member_share } else { options.node_share };
+        let share = if is_member { member_share } else { node_share };
         throttle.limit(name, site.process_id(name), share);
         std::thread::sleep(START_TIME / names.len() as u32);
     }
@@ -201,7 +202,11 @@
 }
 
 /// Lets the disk of the member that has confirmed last refuse writes, at the planned times.
-fn refuse_writes(site: &PlaintextSite, confirmer: &Mutex<Option<String>>, origin: Instant) {
+pub(super) fn refuse_writes(
+    site: &PlaintextSite,
+    confirmer: &Mutex<Option<String>>,
+    origin: Instant,
+) {
     for time in FAULT_TIMES {
         sleep_until(origin + Duration::from_secs_f64(time));
         let name = lock(confirmer).as_deref().and_then(|address| site.member_at(address));
@@ -256,6 +261,6 @@
     orders
 }
 
-fn sleep_until(time: Instant) {
+pub(super) fn sleep_until(time: Instant) {
     std::thread::sleep(time.saturating_duration_since(Instant::now()));
 }
