Quorum: a group is formed in five syncs, without waiting for an election

What operators saw: the first configuration of a site whose syncs take 300 ms was confirmed after 5 to 10 s, 4 s allowed; with syncs of 20 ms, one in five of 800 ms, after 9.84 s. All other orders took one sync.

Cause: syncs in series before anything can be confirmed. Counted by the fake disk (the sum, by reading the path): opening an empty folder 3, the founder's membership 3, the others' 3, the first write of a log 2 (the vote of the candidate, then the votes of the others), the leader's first entry 1, the order 1: 15, those of the membership on the event loop, so that requests got no response meanwhile; and an election timeout, although nobody contests the first election.

Change: the founder asks for the votes of the first term with the membership, and each member stores the membership and its vote in the first frame of its log, on the storage thread. The identity, a new segment and its name take one sync together. Left are the identity, the founder's vote, the others' votes, the leader's entry and the order: 5. Safe, since only the founder is a candidate in the first term and makes the group known only once it has stored it (joining.rs). A folder whose identity was torn by a loss of power is empty; it was refused as damaged before.

--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -210,8 +210,8 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Save { seq, hard_state, entries, snapshot } => {
-                let job = Job { seq, record: Record { hard_state, entries }, snapshot };
+            Effect::Save { seq, hard_state, entries, snapshot, joined } => {
+                let job = Job { seq, record: Record { hard_state, entries, joined }, snapshot };
                 match &self.writer {
                     _ if self.has_failed_storage => {}
                     // A storage thread that takes no more jobs has failed, and its report is on the way.
@@ -477,13 +477,10 @@
     }
 
     /// Starts the storage thread of a member that has none.
-    fn start_writer(&mut self, ctx: &Context<Self>) {
-        let is_member = matches!(self.stage, Stage::Member(_));
-        match (self.store.take(), is_member) {
-            (Some(store), true) => {
-                self.writer = Some(writer::start(store, ctx.address().recipient()));
-            }
-            (store, _) => self.store = store,
+    pub(crate) fn start_writer(&mut self) {
+        let (Stage::Member(_), Some(address)) = (&self.stage, &self.own_address) else { return };
+        if let Some(store) = self.store.take() {
+            self.writer = Some(writer::start(store, address.clone().recipient()));
         }
     }
 
@@ -567,13 +564,10 @@
             actor.relays.fanout.queue_heartbeats(fresh);
         });
         ctx.run_interval(MOVE_CHECK_INTERVAL, |actor, _| actor.advance_moves());
-        ctx.run_interval(
-            self.options.election_timeout / TICKS_PER_ELECTION_TIMEOUT,
-            |actor, ctx| {
-                actor.start_writer(ctx);
-                actor.tick();
-            },
-        );
+        ctx.run_interval(self.options.election_timeout / TICKS_PER_ELECTION_TIMEOUT, |actor, _| {
+            actor.start_writer();
+            actor.tick();
+        });
     }
 }
 
@@ -583,11 +577,10 @@
     fn handle(&mut self, message: PeerMessage, _: &mut Self::Context) {
         let message = message.0;
         match (&mut self.stage, &message.body) {
-            (Stage::Forming(formation), _) => {
-                if let Some(membership) = formation.receive(&message, monotonic_ms()) {
-                    self.join_group(membership);
-                }
-            }
+            (Stage::Forming(formation), _) => match formation.receive(&message, monotonic_ms()) {
+                Some(joining) => self.join_group(joining),
+                None => self.form_group(),
+            },
             (Stage::Member(_), Some(peer::Body::Offer(_))) => self.handle_offer(message),
             (Stage::Member(_), _) if self.writer.is_some() || self.has_failed_storage => {
                 measure(Work::Replicate, || self.step(Input::Receive(message)));
@@ -644,7 +637,7 @@
 impl Handler<StorageReport> for SourceActor {
     type Result = ();
 
-    fn handle(&mut self, report: StorageReport, ctx: &mut Self::Context) {
+    fn handle(&mut self, report: StorageReport, _: &mut Self::Context) {
         match report {
             StorageReport::Written(seq) => self.step(Input::Stored(seq)),
             StorageReport::Failed(error) => self.suspend(&error),
@@ -653,7 +646,7 @@
                 // A leader that still waits for entries in flight resigns now.
                 self.step(Input::StorageFailed);
                 self.resume(store, recovery);
-                self.start_writer(ctx);
+                self.start_writer();
             }
         }
     }
@@ -684,15 +677,15 @@
     }
 }
 
-pub(crate) fn new_replica(
-    identity: Identity,
-    options: &SourceOptions,
-    restored: Restored,
-) -> Box<Replica> {
-    let election = options.election_timeout.as_millis() as u64;
-    let timing = Timing { election, heartbeat: election / HEARTBEATS_PER_ELECTION_TIMEOUT };
+fn new_replica(identity: Identity, options: &SourceOptions, restored: Restored) -> Box<Replica> {
     let seed = rand::rng().random();
-    Box::new(Replica::new(identity, timing, restored, seed, monotonic_ms()))
+    Box::new(Replica::new(identity, timing(options), restored, seed, monotonic_ms()))
+}
+
+/// Returns the protocol timeouts of a member.
+pub(crate) fn timing(options: &SourceOptions) -> Timing {
+    let election = options.election_timeout.as_millis() as u64;
+    Timing { election, heartbeat: election / HEARTBEATS_PER_ELECTION_TIMEOUT }
 }
 
 fn log_outcome(submission: &Submission, outcome: &Outcome) {
--- a/crates/daemon/src/source/forming.rs
+++ b/crates/daemon/src/source/forming.rs
@@ -2,29 +2,30 @@
 
 use kingcuplift_core::{Event, MemberId};
 use kingcuplift_quorum::{
-    Event as Input, MembershipExt, Millis, Restored, RoleName, formation_offer, voter_from_offer,
+    Event as Input, Joining, MembershipExt, Millis, Replica, RoleName, formation_offer,
+    voter_from_offer,
 };
 use kingcuplift_schema::control::{Directory, Place};
-use kingcuplift_schema::quorum::{Membership, Peer, Snapshot, Voter, peer};
+use kingcuplift_schema::quorum::{Membership, Peer, Voter, peer};
 use rand::Rng;
 
-use crate::source::actor::{SourceActor, Stage, new_replica};
+use crate::source::actor::{SourceActor, Stage, timing};
 
-/// Interval of the offers to form or join a group, in milliseconds.
+/// Interval of the offers to join a group, and of the membership changes, in milliseconds.
 const OFFER_INTERVAL_MS: Millis = 200;
+/// Interval of the offers to form a group, in milliseconds.
+const FORMING_INTERVAL_MS: Millis = 100;
 /// Time without contact with a leader after which a member sends offers again, in milliseconds.
 const LEADERLESS_TIMEOUT_MS: Millis = 2_000;
 
 impl SourceActor {
     pub(crate) fn tick_forming(&mut self, now: Millis) {
-        if now < self.last_offer_ms + OFFER_INTERVAL_MS {
+        if now < self.last_offer_ms + FORMING_INTERVAL_MS {
             return;
         }
         self.last_offer_ms = now;
         let Stage::Forming(formation) = &self.stage else { return };
         let offer = formation.offer();
-        let group = rand::rng().random_range(1..u64::MAX);
-        let formed = formation.try_form(group, now);
         let own = self.identity.id;
         let members = self.options.members.iter().map(|member| member.id);
         let others: Vec<MemberId> = members.filter(|id| *id != own).collect();
@@ -32,8 +33,15 @@
             self.send(id, Box::new(offer.clone()));
         }
         self.offer_to_seeds(&offer);
-        if let Some(membership) = formed {
-            self.join_group(membership);
+        self.form_group();
+    }
+
+    /// Forms the group if this member is the one to do so and all others have made their offers.
+    pub(crate) fn form_group(&mut self) {
+        let Stage::Forming(formation) = &self.stage else { return };
+        let group = rand::rng().random_range(1..u64::MAX);
+        if let Some(joining) = formation.try_form(group, self.now()) {
+            self.join_group(joining);
         }
     }
 
@@ -46,17 +54,15 @@
         }
     }
 
-    /// Stores the membership and becomes a member of the group.
-    pub(crate) fn join_group(&mut self, membership: Membership) {
-        let snapshot = Snapshot { membership: Some(membership), ..Snapshot::default() };
-        let Some(store) = &mut self.store else { return };
-        if let Err(error) = store.save_snapshot(&snapshot) {
-            // The member stays in its present stage; the offers that it goes on sending lead here again.
-            return Event::StorageFailed.emit(&[("reason", &error)]);
-        }
+    /// Becomes a member of the group; its membership is stored with the first write.
+    pub(crate) fn join_group(&mut self, joining: Joining) {
         Event::GroupFormed.emit(&[("member", &self.identity.id)]);
-        let restored = Restored { snapshot, ..Restored::default() };
-        self.stage = Stage::Member(new_replica(self.identity, &self.options, restored));
+        let seed = rand::rng().random();
+        let timing = timing(&self.options);
+        let replica = Replica::join(self.identity, timing, joining, seed, self.now());
+        self.stage = Stage::Member(Box::new(replica));
+        self.start_writer();
+        self.step(Input::Tick);
     }
 
     /// Handles an offer: replies to a member with the membership, and passes any other process to the leader to add.
@@ -88,15 +94,15 @@
     /// Sends the membership to a member that does not know its group yet.
     fn send_membership(&mut self, id: MemberId) {
         let Stage::Member(replica) = &self.stage else { return };
-        let membership = replica.membership();
-        let formed = Peer {
+        let Some(invitation) = replica.invitation() else { return };
+        let message = Peer {
             from: self.identity.id.get(),
             disk: self.identity.disk,
-            group: membership.group,
+            group: replica.membership().group,
             term: 0,
-            body: Some(peer::Body::Formed(membership.clone())),
+            body: Some(invitation),
         };
-        self.send(id, Box::new(formed));
+        self.send(id, Box::new(message));
     }
 
     /// As leader, proposes the next membership change; after too long without a leader, offers to join again.
--- a/crates/daemon/src/source/writer.rs
+++ b/crates/daemon/src/source/writer.rs
@@ -95,7 +95,7 @@
     store: &mut Store<DiskFolder>,
     records: &mut Vec<Record>,
 ) -> Result<(), StoreError> {
-    records.retain(|record| record.hard_state.is_some() || !record.entries.is_empty());
+    records.retain(|record| !record.is_empty());
     if !records.is_empty() {
         store.save(records)?;
         records.clear();
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -66,6 +66,8 @@
         entries: Vec<Entry>,
         /// Snapshot that replaces the log up to its index.
         snapshot: Option<Arc<Snapshot>>,
+        /// Membership with which this member joins its group.
+        joined: Option<Membership>,
     },
     /// Send a message to another member; it may be lost.
     Send {
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -135,7 +135,7 @@
         self.count_votes();
     }
 
-    fn count_votes(&mut self) {
+    pub(crate) fn count_votes(&mut self) {
         let membership = self.log.membership();
         let majority = membership.majority();
         let votes = |granted: &BTreeSet<MemberId>| {
--- a/crates/quorum/src/folder.rs
+++ b/crates/quorum/src/folder.rs
@@ -19,6 +19,12 @@
     fn sync(&mut self, name: &str) -> io::Result<()>;
     /// Makes the creation, renaming and deletion of files durable.
     fn sync_names(&mut self) -> io::Result<()>;
+    /// Makes durable both the content of a file and the creation, renaming and deletion of files, in the time of one sync if
+    /// possible.
+    fn sync_with_names(&mut self, name: &str) -> io::Result<()> {
+        self.sync(name)?;
+        self.sync_names()
+    }
     /// Truncates a file to `length` bytes.
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
     /// Renames a file, replacing any file with the new name.
@@ -99,6 +105,22 @@
         File::open(&self.path)?.sync_all()
     }
 
+    fn sync_with_names(&mut self, name: &str) -> io::Result<()> {
+        let names = File::open(&self.path)?;
+        let file = self.file(name)?;
+        std::thread::scope(|scope| {
+            let sync_names = || names.sync_all();
+            let thread = std::thread::Builder::new().name("names".to_owned());
+            let started = thread.spawn_scoped(scope, sync_names);
+            file.sync_data()?;
+            match started {
+                Ok(thread) => thread.join().unwrap_or_else(|_| Err(io::Error::other("panicked"))),
+                // Without a thread, one sync follows the other.
+                Err(_) => sync_names(),
+            }
+        })
+    }
+
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         self.file(name)?.set_len(length)
     }
--- a/crates/quorum/src/formation.rs
+++ b/crates/quorum/src/formation.rs
@@ -11,9 +11,13 @@
 use kingcuplift_schema::quorum::{FormationOffer, Membership, Peer, Voter, peer};
 
 use crate::effect::Millis;
+use crate::joining::Joining;
+use crate::membership::MembershipExt;
 
 /// Time for which an offer is valid.
 const OFFER_TTL: Millis = 3_000;
+/// Time for which a process that has been named as the leader is taken for it.
+const LEADER_TTL: Millis = 1_000;
 
 /// Members that form the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,12 +44,14 @@
     own: Voter,
     initial_members: InitialMembers,
     offers: BTreeMap<MemberId, ReceivedOffer>,
+    /// Leader of the existing group, and when it was named.
+    leader: Option<(Millis, Box<Voter>)>,
 }
 
 impl Formation {
     /// Creates a member without a group; `own` has its id, disk and addresses.
     pub fn new(own: Voter, initial_members: InitialMembers) -> Self {
-        Self { own, initial_members, offers: BTreeMap::new() }
+        Self { own, initial_members, offers: BTreeMap::new(), leader: None }
     }
 
     /// Returns the offer to send to every initial member.
@@ -54,8 +60,15 @@
         formation_offer(&self.own, is_first_start)
     }
 
-    /// Handles a message; returns the membership once this member belongs to a group.
-    pub fn receive(&mut self, message: &Peer, now: Millis) -> Option<Membership> {
+    /// Returns the leader of the existing group, if another member has just named it.
+    pub fn leader(&self, now: Millis) -> Option<&Voter> {
+        let (at, leader) = self.leader.as_ref()?;
+        (now <= at + LEADER_TTL).then_some(leader)
+    }
+
+    /// Handles a message; returns the group once this member belongs to one.
+    pub fn receive(&mut self, message: &Peer, now: Millis) -> Option<Joining> {
+        let is_self = |v: &Voter| v.id == self.own.id && v.disk == self.own.disk;
         match &message.body {
             Some(peer::Body::Offer(body)) if message.group == 0 => {
                 let received = ReceivedOffer {
@@ -67,16 +80,25 @@
                 None
             }
             Some(peer::Body::Formed(membership)) => {
-                let members = membership.voters.iter().chain(&membership.learners);
-                let is_self = |v: &Voter| v.id == self.own.id && v.disk == self.own.disk;
-                members.into_iter().any(is_self).then(|| membership.clone())
+                let mut members = membership.voters.iter().chain(&membership.learners);
+                members.any(is_self).then(|| Joining::Newcomer(membership.clone()))
+            }
+            Some(peer::Body::Founded(membership)) => {
+                let founder = MemberId::new(message.from);
+                let is_voter = membership.voters.iter().any(is_self);
+                (is_voter && membership.is_voter(founder))
+                    .then(|| Joining::Voter { membership: membership.clone(), founder })
+            }
+            Some(peer::Body::Leader(voter)) => {
+                self.leader = Some((now, Box::new(voter.clone())));
+                None
             }
             _ => None,
         }
     }
 
     /// Forms the group if this member has the lowest id and valid offers from all other initial members.
-    pub fn try_form(&self, group: u64, now: Millis) -> Option<Membership> {
+    pub fn try_form(&self, group: u64, now: Millis) -> Option<Joining> {
         let others = match &self.initial_members {
             InitialMembers::Ids(ids) => self.offered_by_ids(ids, now)?,
             InitialMembers::Seeds(addresses) => self.offered_by_addresses(addresses, now)?,
@@ -86,7 +108,7 @@
             return None;
         }
         let voters = std::iter::once(self.own.clone()).chain(others).collect();
-        Some(Membership { group, voters, learners: Vec::new() })
+        Some(Joining::Founder(Membership { group, voters, learners: Vec::new() }))
     }
 
     /// Returns the other initial members, if each has sent a valid offer.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -137,7 +137,7 @@
     pub(crate) last_leader_contact: Millis,
     pub(crate) vote_restriction: VoteRestriction,
     /// Time until which failed elections are retried early.
-    early_retry_until: Millis,
+    pub(crate) early_retry_until: Millis,
     pub(crate) election_deadline: Millis,
     pub(crate) now: Millis,
     /// Time until which messages may wait that came while this member stood still.
@@ -154,6 +154,10 @@
     reported_disks: BTreeSet<MemberId>,
     saved_hard_state: HardState,
     unsaved_entries: Vec<Entry>,
+    /// Membership with which this member joins its group, until it is written.
+    pub(crate) unsaved_group: Option<Membership>,
+    /// Write with that membership; 0 if it was stored before the start.
+    group_seq: WriteSeq,
     last_seq: WriteSeq,
     synced_seq: WriteSeq,
     awaiting_sync: VecDeque<(WriteSeq, Effect)>,
@@ -207,6 +211,8 @@
             effects: Vec::new(),
             reported_disks: BTreeSet::new(),
             unsaved_entries: Vec::new(),
+            unsaved_group: None,
+            group_seq: 0,
             last_seq: 0,
             synced_seq: 0,
             awaiting_sync: VecDeque::new(),
@@ -534,7 +540,7 @@
 
     /// Writes unsaved state, replicates new entries and applies committed ones.
     fn flush(&mut self) {
-        if self.hard_state != self.saved_hard_state || !self.unsaved_entries.is_empty() {
+        if self.has_unsaved_state() {
             self.issue_write(None);
         }
         self.send_entries();
@@ -550,9 +556,13 @@
         }
         self.saved_hard_state = self.hard_state;
         let entries = std::mem::take(&mut self.unsaved_entries);
+        let joined = self.unsaved_group.take();
+        if joined.is_some() {
+            self.group_seq = seq;
+        }
         let last_index = self.log.last_index();
         self.pending_writes.push_back(PendingWrite { seq, last_index, issued_at: self.now });
-        self.effects.push(Effect::Save { seq, hard_state, entries, snapshot });
+        self.effects.push(Effect::Save { seq, hard_state, entries, snapshot, joined });
     }
 
     /// Applies committed entries, with the tokens of their proposals.
@@ -576,7 +586,7 @@
 
     /// Sends a message after all changes made so far are synced.
     pub(crate) fn send_synced(&mut self, to: MemberId, body: peer::Body) {
-        if self.hard_state != self.saved_hard_state || !self.unsaved_entries.is_empty() {
+        if self.has_unsaved_state() {
             self.issue_write(None);
         }
         let effect = Effect::Send { to, message: self.envelope(body) };
@@ -588,9 +598,19 @@
 
     /// Returns whether any change is not synced yet.
     pub(crate) fn has_unsynced_writes(&self) -> bool {
-        self.last_seq > self.synced_seq
-            || self.hard_state != self.saved_hard_state
+        self.last_seq > self.synced_seq || self.has_unsaved_state()
+    }
+
+    /// Returns whether any change has not been written yet.
+    fn has_unsaved_state(&self) -> bool {
+        self.hard_state != self.saved_hard_state
             || !self.unsaved_entries.is_empty()
+            || self.unsaved_group.is_some()
+    }
+
+    /// Returns whether the membership with which this member has joined its group is not synced yet.
+    pub(crate) fn is_group_unsynced(&self) -> bool {
+        self.unsaved_group.is_some() || self.group_seq > self.synced_seq
     }
 
     /// Returns whether this member's term or vote is being written.
--- a/crates/quorum/src/store.rs
+++ b/crates/quorum/src/store.rs
@@ -1,13 +1,14 @@
 //! Durable state of a member: a segmented log, snapshots and the identity of the disk.
 //!
 //! Each write is one frame, so only the last frame of the last segment can be incomplete after a crash.
-//! Any other damage is an error with the file and offset.
+//! Any other damage is an error with the file and offset. The first frame of a log contains the membership with which the
+//! member has joined its group, so that joining takes no write of its own.
 
 use std::io;
 
 use kingcuplift_core::{ByteSize, MemberId, ResultCode};
 use kingcuplift_schema::Message;
-use kingcuplift_schema::quorum::{Batch, DiskIdentity, Entry, HardState, Snapshot};
+use kingcuplift_schema::quorum::{Batch, DiskIdentity, Entry, HardState, Membership, Snapshot};
 use thiserror::Error;
 
 use crate::folder::Folder;
@@ -32,6 +33,15 @@
     pub hard_state: Option<HardState>,
     /// Entries; they replace all stored entries from the first one's index on.
     pub entries: Vec<Entry>,
+    /// Membership with which the member joins its group.
+    pub joined: Option<Membership>,
+}
+
+impl Record {
+    /// Returns whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.hard_state.is_none() && self.entries.is_empty() && self.joined.is_none()
+    }
 }
 
 /// Reason why the durable state can't be read or written.
@@ -124,6 +134,8 @@
     /// Checksum of the last frame.
     last_checksum: u32,
     hard_state: HardState,
+    /// Membership with which the member has joined its group, as long as the log contains it.
+    joined: Option<Membership>,
     snapshot_index: u64,
     /// Size of the write that failed last, in bytes.
     failed_size: usize,
@@ -153,6 +165,7 @@
             segment_size: 0,
             last_checksum: 0,
             hard_state: HardState::default(),
+            joined: None,
             snapshot_index: 0,
             failed_size: 0,
         };
@@ -162,13 +175,13 @@
         Ok((store, recovery))
     }
 
-    /// Makes durable what was read: the process may have been killed between a write and its sync.
+    /// Makes durable what was read, or a new identity: the process may have been killed between a write and its sync.
     fn sync_all(&mut self) -> Result<(), StoreError> {
-        if !self.segments.is_empty() {
-            let name = self.current_segment_name();
-            self.folder.sync(&name).map_err(|e| io_error(&name, e))?;
-        }
-        self.folder.sync_names().map_err(|e| io_error(".", e))
+        let name = match self.segments.is_empty() {
+            true => IDENTITY_FILE.to_owned(),
+            false => self.current_segment_name(),
+        };
+        self.folder.sync_with_names(&name).map_err(|e| io_error(&name, e))
     }
 
     /// Reads the state again after a failed write, and makes all of it durable.
@@ -185,6 +198,7 @@
         self.segment_size = 0;
         self.last_checksum = 0;
         self.hard_state = HardState::default();
+        self.joined = None;
         self.snapshot_index = 0;
         let bytes = self.read(IDENTITY_FILE)?;
         let identity = decode_single_frame::<DiskIdentity>(IDENTITY_FILE, &bytes)?;
@@ -201,8 +215,11 @@
 
     /// Reads the snapshot and the log.
     fn read_all(&mut self, identity: Identity) -> Result<Recovery, StoreError> {
-        let snapshot = self.read_snapshot()?;
+        let mut snapshot = self.read_snapshot()?;
         let (entries, truncated) = self.read_segments(&snapshot)?;
+        if snapshot.membership.is_none() {
+            snapshot.membership.clone_from(&self.joined);
+        }
         let restored = Restored { hard_state: self.hard_state, snapshot, entries };
         Ok(Recovery { identity, restored, truncated })
     }
@@ -234,11 +251,16 @@
                 batch.entries.retain(|entry| entry.index < first.index);
                 batch.entries.extend(record.entries.iter().cloned());
             }
+            if record.joined.is_some() {
+                self.joined.clone_from(&record.joined);
+                batch.joined.clone_from(&record.joined);
+            }
         }
         if self.segment_size >= SEGMENT_SIZE.get() || self.segments.is_empty() {
-            self.start_segment()?;
+            self.start_segment();
         }
-        if self.segment_size == 0 {
+        let is_new_segment = self.segment_size == 0;
+        if is_new_segment {
             batch.hard = Some(self.hard_state);
         }
         let last = batch.entries.last().map(|entry| entry.index);
@@ -246,7 +268,11 @@
         let name = self.current_segment_name();
         self.failed_size = bytes.len();
         self.folder.append(&name, &bytes).map_err(|e| io_error(&name, e))?;
-        self.folder.sync(&name).map_err(|e| io_error(&name, e))?;
+        let synced = match is_new_segment {
+            true => self.folder.sync_with_names(&name),
+            false => self.folder.sync(&name),
+        };
+        synced.map_err(|e| io_error(&name, e))?;
         self.failed_size = 0;
         self.segment_size += bytes.len() as u64;
         self.last_checksum = checksum;
@@ -263,27 +289,38 @@
         self.write_file(&snapshot_name(snapshot.index), &bytes)?;
         self.failed_size = 0;
         self.snapshot_index = snapshot.index;
+        let mut has_removed = false;
         for name in self.list()? {
             let is_old = parse_name(&name, SNAPSHOT_PREFIX).is_some_and(|n| n < snapshot.index);
             if is_old {
                 self.folder.remove(&name).map_err(|e| io_error(&name, e))?;
+                has_removed = true;
             }
         }
-        self.delete_covered_segments()
+        self.delete_covered_segments(has_removed)
     }
 
-    /// Deletes the segments that the snapshot covers, except the last one.
+    /// Deletes the segments that the snapshot covers, except the last one; `has_removed` tells whether other files were
+    /// removed and that is not synced yet.
     ///
     /// Each deletion is durable before the next one: a loss of power could otherwise keep a segment without its successor,
     /// which reads as a damaged log.
-    fn delete_covered_segments(&mut self) -> Result<(), StoreError> {
+    fn delete_covered_segments(&mut self, mut has_removed: bool) -> Result<(), StoreError> {
         while self.segments.len() > 1 && self.segments[0].last <= self.snapshot_index {
-            self.folder.sync_names().map_err(|e| io_error(".", e))?;
+            self.sync_removal(has_removed)?;
             let name = segment_name(self.segments[0].number);
             self.folder.remove(&name).map_err(|e| io_error(&name, e))?;
             self.segments.remove(0);
+            has_removed = true;
+        }
+        self.sync_removal(has_removed)
+    }
+
+    fn sync_removal(&mut self, has_removed: bool) -> Result<(), StoreError> {
+        match has_removed {
+            true => self.folder.sync_names().map_err(|e| io_error(".", e)),
+            false => Ok(()),
         }
-        self.folder.sync_names().map_err(|e| io_error(".", e))
     }
 
     /// Writes a file atomically: after a crash it exists completely or not at all.
@@ -318,14 +355,11 @@
         folder.sync_names().map_err(|e| io_error(".", e))
     }
 
-    fn start_segment(&mut self) -> Result<(), StoreError> {
+    /// Starts a segment; the next write creates its file.
+    fn start_segment(&mut self) {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        let name = segment_name(number);
-        self.folder.append(&name, &[]).map_err(|e| io_error(&name, e))?;
-        self.folder.sync_names().map_err(|e| io_error(".", e))?;
         self.segments.push(Segment { number, last: 0 });
         self.segment_size = 0;
-        Ok(())
     }
 
     fn current_segment_name(&self) -> String {
@@ -342,27 +376,45 @@
 
     fn open_identity(&mut self, owner: Owner, new_disk: u64) -> Result<Identity, StoreError> {
         let names = self.list()?;
-        if names.iter().any(|name| name == IDENTITY_FILE) {
-            let bytes = self.read(IDENTITY_FILE)?;
-            let identity = decode_single_frame::<DiskIdentity>(IDENTITY_FILE, &bytes)?;
-            let member = MemberId::new(identity.member);
-            return match owner {
-                Owner::Only(expected) if expected != member => {
-                    Err(StoreError::Foreign { owner: member, expected })
-                }
-                Owner::Only(_) | Owner::Any(_) => Ok(Identity { id: member, disk: identity.disk }),
-            };
-        }
-        let orphan = names
+        let has_state = names
             .iter()
-            .find(|name| name.starts_with(SEGMENT_PREFIX) || name.starts_with(SNAPSHOT_PREFIX));
-        if orphan.is_some() {
+            .any(|name| name.starts_with(SEGMENT_PREFIX) || name.starts_with(SNAPSHOT_PREFIX));
+        if !names.iter().any(|name| name == IDENTITY_FILE) {
+            return self.create_identity(owner, new_disk, has_state);
+        }
+        let bytes = self.read(IDENTITY_FILE)?;
+        let identity = match decode_single_frame::<DiskIdentity>(IDENTITY_FILE, &bytes) {
+            Ok(identity) => identity,
+            Err(error) if has_state => return Err(error),
+            // The power was lost before the file was synced, so that no other process knows this identity.
+            Err(_) => {
+                self.folder.remove(IDENTITY_FILE).map_err(|e| io_error(IDENTITY_FILE, e))?;
+                return self.create_identity(owner, new_disk, has_state);
+            }
+        };
+        let member = MemberId::new(identity.member);
+        match owner {
+            Owner::Only(expected) if expected != member => {
+                Err(StoreError::Foreign { owner: member, expected })
+            }
+            Owner::Only(_) | Owner::Any(_) => Ok(Identity { id: member, disk: identity.disk }),
+        }
+    }
+
+    /// Writes the identity of an empty folder; the caller syncs it.
+    fn create_identity(
+        &mut self,
+        owner: Owner,
+        new_disk: u64,
+        has_state: bool,
+    ) -> Result<Identity, StoreError> {
+        if has_state {
             return Err(StoreError::Damaged { file: IDENTITY_FILE.to_owned(), offset: 0 });
         }
         let (Owner::Only(id) | Owner::Any(id)) = owner;
         let identity = DiskIdentity { member: id.get(), disk: new_disk };
         let (bytes, _) = frame::encode(0, &identity.encode_to_vec());
-        self.write_file(IDENTITY_FILE, &bytes)?;
+        self.folder.append(IDENTITY_FILE, &bytes).map_err(|e| io_error(IDENTITY_FILE, e))?;
         Ok(Identity { id, disk: new_disk })
     }
 
@@ -427,6 +479,9 @@
             let batch = Batch::decode(frame.body).ok().filter(|_| is_chained);
             let batch = batch.ok_or_else(|| damaged(at))?;
             self.hard_state = batch.hard.unwrap_or(self.hard_state);
+            if batch.joined.is_some() {
+                self.joined = batch.joined;
+            }
             last = batch.entries.last().map_or(last, |entry| last.max(entry.index));
             if !extend_entries(entries, batch.entries) {
                 return Err(damaged(at));
--- a/crates/quorum/tests/automatic_membership.rs
+++ b/crates/quorum/tests/automatic_membership.rs
@@ -7,12 +7,10 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_quorum::{
-    Effect, Event, Formation, Identity, InitialMembers, MembershipController, Replica, Restored,
+    Effect, Event, Formation, Identity, InitialMembers, Joining, MembershipController, Replica,
     RoleName, Timing, formation_offer, voter_from_offer,
 };
-use kingcuplift_schema::quorum::{
-    Entry, HardState, Membership, Peer, Snapshot, Voter, entry, peer,
-};
+use kingcuplift_schema::quorum::{Entry, HardState, Membership, Peer, Voter, entry, peer};
 use rstest::rstest;
 
 /// Time between ticks, in milliseconds.
@@ -101,16 +99,16 @@
         self.processes.insert(at.to_owned(), process);
     }
 
-    fn join(&mut self, at: &str, membership: Membership) {
+    fn join(&mut self, at: &str, joining: Joining) {
         let now = self.now;
+        let membership = joining.membership().clone();
         self.groups.insert(membership.group);
         let process = self.processes.get_mut(at).expect("the process runs");
-        let snapshot = Snapshot { membership: Some(membership.clone()), ..Snapshot::default() };
-        let restored = Restored { snapshot, ..Restored::default() };
         let identity = Identity { id: MemberId::new(process.voter.id), disk: process.voter.disk };
-        let replica = Replica::new(identity, TIMING, restored, process.voter.id, now);
+        let replica = Replica::join(identity, TIMING, joining, process.voter.id, now);
         process.membership = Some(membership);
         process.stage = Stage::Member(Box::new(replica));
+        self.step(at, Event::Tick);
     }
 
     /// Runs all processes for `ms` milliseconds.
@@ -144,8 +142,8 @@
                 let group = 1_000_000 + process.voter.id;
                 let formed = formation.try_form(group, now);
                 self.broadcast_offer(at, &message);
-                if let Some(membership) = formed {
-                    self.join(at, membership);
+                if let Some(joining) = formed {
+                    self.join(at, joining);
                 }
             }
             Stage::Member(replica) => {
@@ -216,21 +214,22 @@
         let Some(process) = self.processes.get_mut(at) else { return };
         match (&mut process.stage, &message.body) {
             (Stage::Forming(formation), _) => {
-                if let Some(membership) = formation.receive(&message, now) {
-                    self.join(at, membership);
+                if let Some(joining) = formation.receive(&message, now) {
+                    self.join(at, joining);
                 }
             }
             (Stage::Member(replica), Some(peer::Body::Offer(body))) => {
                 let voter = voter_from_offer(&message, body);
-                let membership = replica.membership().clone();
+                let own = process.voter.id;
+                let (membership, invitation) = (replica.membership().clone(), replica.invitation());
                 let members = membership.voters.iter().chain(&membership.learners);
                 let is_member =
                     members.into_iter().any(|v| v.id == voter.id && v.disk == voter.disk);
                 match is_member {
+                    true if invitation.is_none() => {}
                     true => {
-                        let formed =
-                            Peer { body: Some(peer::Body::Formed(membership)), ..Peer::default() };
-                        self.deliver(&voter.listen, formed);
+                        let message = Peer { from: own, body: invitation, ..Peer::default() };
+                        self.deliver(&voter.listen, message);
                     }
                     false => process.membership_controller.record_offer(voter, now),
                 }
--- a/crates/quorum/tests/storage_damage.rs
+++ b/crates/quorum/tests/storage_damage.rs
@@ -21,7 +21,11 @@
 }
 
 fn record(index: u64, term: u64) -> Record {
-    Record { hard_state: Some(HardState { term, vote: 1 }), entries: vec![entry(index, term)] }
+    Record {
+        hard_state: Some(HardState { term, vote: 1 }),
+        entries: vec![entry(index, term)],
+        ..Record::default()
+    }
 }
 
 /// Returns a disk with entries 1 to `count`, each synced by itself.
@@ -133,8 +137,8 @@
     let large_record = |index| {
         let command = vec![7; 1 << 20].into();
         Record {
-            hard_state: None,
             entries: vec![Entry { index, term: 1, body: Some(entry::Body::Command(command)) }],
+            ..Record::default()
         }
     };
     store.save(&[record(1, 3)]).expect("the disk works");
@@ -162,7 +166,7 @@
     let large_record = |index| {
         let command = vec![7; 1 << 20].into();
         let body = Some(entry::Body::Command(command));
-        Record { hard_state: None, entries: vec![Entry { index, term: 1, body }] }
+        Record { entries: vec![Entry { index, term: 1, body }], ..Record::default() }
     };
     let (mut store, _) = Store::open(FakeDisk::default(), MEMBER, 9).expect("an empty folder");
     (1..=30).for_each(|index| store.save(&[large_record(index)]).expect("the disk works"));
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -5,8 +5,8 @@
 
 use kingcuplift_core::MemberId;
 use kingcuplift_quorum::{
-    Effect, Event, Formation, Identity, InitialMembers, MembershipExt, Millis, Record, Recovery,
-    Replica, Restored, RoleName, Store, Timing, Token,
+    Effect, Event, Formation, Identity, InitialMembers, Joining, MembershipExt, Millis, Record,
+    Recovery, Replica, Restored, RoleName, Store, StoreError, Timing, Token,
 };
 use kingcuplift_schema::quorum::{Entry, Membership, Peer, Snapshot, Voter, entry, peer};
 
@@ -16,6 +16,8 @@
 pub const ELECTION_TIMEOUT: Millis = 300;
 /// Interval between heartbeats, in milliseconds.
 const HEARTBEAT_INTERVAL: Millis = 60;
+/// Protocol timeouts of the members.
+const TIMING: Timing = Timing { election: ELECTION_TIMEOUT, heartbeat: HEARTBEAT_INTERVAL };
 /// Clock rates of the members, in thousandths; they stay within the drift that a lease allows for.
 const CLOCK_RATES: [u64; 5] = [1_000, 950, 1_050, 980, 1_030];
 
@@ -43,8 +45,8 @@
     store: Option<Store<FakeDisk>>,
     disk: Option<FakeDisk>,
     pending_writes: VecDeque<Write>,
-    /// Number of the writes whose sync is in progress, and when it began.
-    sync_started: Option<(usize, Millis)>,
+    /// Last write of those whose syncs are in progress, and when these end.
+    sync_ends: Option<(u64, Millis)>,
     applied: Vec<Vec<u8>>,
     applied_index: u64,
     is_paused: bool,
@@ -107,7 +109,7 @@
                 store: None,
                 disk: Some(FakeDisk::default()),
                 pending_writes: VecDeque::new(),
-                sync_started: None,
+                sync_ends: None,
                 applied: Vec::new(),
                 applied_index: 0,
                 is_paused: false,
@@ -207,7 +209,7 @@
             member.disk = Some(disk);
         }
         member.pending_writes.clear();
-        member.sync_started = None;
+        member.sync_ends = None;
     }
 
     /// Stops a member whose disk has failed, unless it still leads.
@@ -327,25 +329,20 @@
         for other in self.initial.clone().into_iter().filter(|other| *other != id) {
             self.send(id, other, Box::new(offer.clone()));
         }
-        if let Some(membership) = formed {
-            self.join_group(id, membership);
+        if let Some(joining) = formed {
+            self.join_group(id, joining);
         }
     }
 
-    fn join_group(&mut self, id: MemberId, membership: Membership) {
+    fn join_group(&mut self, id: MemberId, joining: Joining) {
         let seed = self.next_seed();
         let now = self.local_time(id);
         let member = self.members.get_mut(&id).expect("the member exists");
         let Stage::Forming(formation) = &member.stage else { return };
         let identity = Identity { id, disk: formation.offer().disk };
-        let snapshot = Snapshot { membership: Some(membership), ..Snapshot::default() };
-        let store = member.store.as_mut().expect("a running member has a store");
-        if store.save_snapshot(&snapshot).is_err() {
-            member.stage = Stage::Down;
-            return;
-        }
-        let restored = Restored { snapshot, ..Restored::default() };
-        member.stage = Stage::Up(new_replica(identity, restored, seed, now));
+        let replica = Replica::join(identity, TIMING, joining, seed, now);
+        member.stage = Stage::Up(Box::new(replica));
+        self.handle_event(id, Event::Tick);
     }
 
     fn send(&mut self, from: MemberId, to: MemberId, message: Box<Peer>) {
@@ -393,30 +390,31 @@
             Stage::Forming(formation) => formation.receive(&message, now),
             Stage::Up(replica) => {
                 if let Some(peer::Body::Offer(_)) = &message.body {
-                    let membership = replica.membership().clone();
-                    return self.answer_offer(id, &message, membership);
+                    let (membership, invitation) =
+                        (replica.membership().clone(), replica.invitation());
+                    return self.answer_offer(id, &message, &membership, invitation);
                 }
                 return self.handle_event(id, Event::Receive(message));
             }
         };
-        if let Some(membership) = joined {
-            self.join_group(id, membership);
+        if let Some(joining) = joined {
+            self.join_group(id, joining);
         }
     }
 
-    fn answer_offer(&mut self, id: MemberId, offer: &Peer, membership: Membership) {
+    fn answer_offer(
+        &mut self,
+        id: MemberId,
+        offer: &Peer,
+        membership: &Membership,
+        invitation: Option<peer::Body>,
+    ) {
         let to = MemberId::new(offer.from);
-        if membership.member(to).is_none_or(|voter| voter.disk != offer.disk) {
-            return;
-        }
-        let formed = Peer {
-            from: id.get(),
-            disk: 0,
-            group: membership.group,
-            term: 0,
-            body: Some(peer::Body::Formed(membership)),
-        };
-        self.send(id, to, Box::new(formed));
+        let is_member = membership.member(to).is_some_and(|voter| voter.disk == offer.disk);
+        let (Some(body), true) = (invitation, is_member) else { return };
+        let message =
+            Peer { from: id.get(), disk: 0, group: membership.group, term: 0, body: Some(body) };
+        self.send(id, to, Box::new(message));
     }
 
     /// Proposes a command to a member and returns the token of the proposal.
@@ -461,54 +459,63 @@
 
     /// Performs the pending writes of a member; crashes it and returns false when its disk fails.
     pub fn sync(&mut self, id: MemberId) -> bool {
-        let count = self.members[&id].pending_writes.len();
-        self.sync_first(id, count)
+        match self.write_pending(id) {
+            Ok(last) => {
+                if let Some((last, _)) = last {
+                    self.handle_event(id, Event::Stored(last));
+                }
+                true
+            }
+            Err(_) => {
+                self.fail_storage(id, 1);
+                false
+            }
+        }
     }
 
     /// Performs the writes of a member whose disk takes `duration` for each sync; writes that wait share the next one.
     pub fn sync_slowly(&mut self, id: MemberId, duration: Millis) {
         let now = self.now;
-        let member = self.members.get_mut(&id).expect("the member exists");
-        match member.sync_started {
-            Some((count, started_at)) if now >= started_at + duration => {
-                member.sync_started = None;
-                self.sync_first(id, count);
+        match self.members[&id].sync_ends {
+            Some((last, at)) if now >= at => {
+                self.members.get_mut(&id).expect("the member exists").sync_ends = None;
+                self.handle_event(id, Event::Stored(last));
             }
             Some(_) => return,
             None => {}
         }
-        let member = self.members.get_mut(&id).expect("the member exists");
-        let count = member.pending_writes.len();
-        member.sync_started = (count > 0).then_some((count, now));
+        match self.write_pending(id) {
+            Ok(Some((last, syncs))) => {
+                let member = self.members.get_mut(&id).expect("the member exists");
+                member.sync_ends = Some((last, now + duration * syncs as Millis));
+            }
+            Ok(None) => {}
+            Err(_) => self.fail_storage(id, 1),
+        }
     }
 
-    /// Performs the first `count` pending writes of a member.
-    fn sync_first(&mut self, id: MemberId, count: usize) -> bool {
+    /// Performs the pending writes of a member as the daemon does; returns the last one and the number of syncs in series.
+    fn write_pending(&mut self, id: MemberId) -> Result<Option<(u64, usize)>, StoreError> {
         let member = self.members.get_mut(&id).expect("the member exists");
         if member.is_paused {
-            return true;
+            return Ok(None);
         }
-        let writes: Vec<Write> = member.pending_writes.drain(..count).collect();
-        let Some(last) = writes.last().map(|write| write.seq) else {
-            return true;
-        };
-        let Some(store) = member.store.as_mut() else {
-            return true;
+        let writes: Vec<Write> = member.pending_writes.drain(..).collect();
+        let (Some(last), Some(store)) = (writes.last().map(|write| write.seq), &mut member.store)
+        else {
+            return Ok(None);
         };
-        for write in &writes {
-            let snapshot = write.snapshot.as_ref().map_or(Ok(()), |s| store.save_snapshot(s));
-            let is_empty = write.record.hard_state.is_none() && write.record.entries.is_empty();
-            let saved = match is_empty {
-                true => Ok(()),
-                false => store.save(std::slice::from_ref(&write.record)),
-            };
-            if snapshot.is_err() || saved.is_err() {
-                self.fail_storage(id, 1);
-                return false;
+        let before = store.folder().syncs;
+        let mut records = Vec::new();
+        for write in writes {
+            if let Some(snapshot) = &write.snapshot {
+                save_records(store, &mut records)?;
+                store.save_snapshot(snapshot)?;
             }
+            records.push(write.record);
         }
-        self.handle_event(id, Event::Stored(last));
-        true
+        save_records(store, &mut records)?;
+        Ok(Some((last, store.folder().syncs - before)))
     }
 
     fn handle_event(&mut self, id: MemberId, event: Event) {
@@ -533,8 +540,8 @@
 
     fn perform_effect(&mut self, id: MemberId, effect: Effect) {
         match effect {
-            Effect::Save { seq, hard_state, entries, snapshot } => {
-                let record = Record { hard_state, entries };
+            Effect::Save { seq, hard_state, entries, snapshot, joined } => {
+                let record = Record { hard_state, entries, joined };
                 let member = self.members.get_mut(&id).expect("the member exists");
                 if !member.has_failed_storage {
                     member.pending_writes.push_back(Write { seq, record, snapshot });
@@ -662,9 +669,17 @@
     }
 }
 
+/// Writes records that share a sync.
+fn save_records(store: &mut Store<FakeDisk>, records: &mut Vec<Record>) -> Result<(), StoreError> {
+    records.retain(|record| !record.is_empty());
+    match records.is_empty() {
+        true => Ok(()),
+        false => store.save(&std::mem::take(records)),
+    }
+}
+
 fn new_replica(identity: Identity, restored: Restored, seed: u64, now: Millis) -> Box<Replica> {
-    let timing = Timing { election: ELECTION_TIMEOUT, heartbeat: HEARTBEAT_INTERVAL };
-    Box::new(Replica::new(identity, timing, restored, seed, now))
+    Box::new(Replica::new(identity, TIMING, restored, seed, now))
 }
 
 /// Encodes applied commands, each with a length prefix of one byte.
--- a/crates/testing/src/disk.rs
+++ b/crates/testing/src/disk.rs
@@ -48,6 +48,8 @@
     pub fault: Option<DiskFault>,
     /// Number of changes until the power is lost: later ones fail and have no effect.
     pub calls_until_loss: Option<usize>,
+    /// Number of syncs in series so far.
+    pub syncs: usize,
 }
 
 impl FakeDisk {
@@ -172,6 +174,7 @@
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.use_power()?;
+        self.syncs += 1;
         let has_failed = self.fault == Some(DiskFault::Sync);
         let file = self.file(name);
         file.is_poisoned |= has_failed;
@@ -185,6 +188,7 @@
 
     fn sync_names(&mut self) -> io::Result<()> {
         self.use_power()?;
+        self.syncs += 1;
         if self.fault == Some(DiskFault::Sync) {
             return Err(io::Error::other("injected sync failure"));
         }
@@ -193,6 +197,17 @@
         Ok(())
     }
 
+    fn sync_with_names(&mut self, name: &str) -> io::Result<()> {
+        // Either of the two may be done first.
+        let before = self.syncs;
+        match before.is_multiple_of(2) {
+            true => self.sync(name).and_then(|()| self.sync_names())?,
+            false => self.sync_names().and_then(|()| self.sync(name))?,
+        }
+        self.syncs = before + 1;
+        Ok(())
+    }
+
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
         self.use_power()?;
         self.file(name).data.truncate(length as usize);
