Source: members without a group hold orders or send them to the leader

What operators saw: while a site starts, a member that had no group yet answered 503 at once, also while the others had a leader and only had to add it.

Cause: reject_unless_leader knew no leader in the forming stage and didn't count the formation as an election that is due.

Members that receive an offer name the leader to a process that is no member yet, so that this redirects operators, and the relay beside it, until it is added.

--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::wall_ms;
 use crate::error::StartError;
-use crate::listener::serve_management;
+use crate::listener::{Listener, serve_management};
 use crate::metrics;
 use crate::node::NodeActor;
 use crate::node::admission::AdmissionController;
@@ -98,7 +98,8 @@
     actor: Addr<NodeActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    serve_management(addresses, move |app| {
+    let listeners = addresses.iter().copied().map(Listener::new);
+    serve_management(listeners, move |app| {
         app.app_data(web::Data::clone(&actor))
             .route("/v1/targets/{service}", web::put().to(put_target))
             .route("/v1/targets/{service}", web::delete().to(delete_target))
--- a/crates/daemon/src/relay/http.rs
+++ b/crates/daemon/src/relay/http.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use crate::error::StartError;
-use crate::listener::serve_management;
+use crate::listener::{Listener, serve_management};
 use crate::metrics;
 use crate::relay::RelayActor;
 use crate::relay::actor::GetHealth;
@@ -19,7 +19,7 @@
     actor: Addr<RelayActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
-    serve_management(&[address], move |app| {
+    serve_management([Listener::new(address)], move |app| {
         app.app_data(web::Data::clone(&actor))
             .route("/healthz", web::get().to(health))
             .route("/metrics", web::get().to(metrics::serve));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 use crate::credentials;
 use crate::error::StartError;
 use crate::link::{Endpoint, Security};
+use crate::listener::Listener;
 use crate::metrics;
 use crate::node::{self, NodeActor, NodeShared};
 use crate::options::{NodeOptions, Options, RelayOptions, SourceOptions};
@@ -102,10 +103,14 @@
         credentials: &Security,
     ) -> Result<(), StartError> {
         let endpoint = self.bind(source.listen, credentials)?;
-        let http = source.http;
+        // While a site starts for the first time, operators have no other member to turn to.
+        let listener = match source.is_first_start {
+            true => Listener::open(source.http)?,
+            false => Listener::new(source.http),
+        };
         let actor = SourceActor::open(source, options.name.clone(), endpoint.clone())?.start();
         actix::spawn(source::accept_links(endpoint, actor.clone()));
-        self.serve(source::serve_http(http, actor.clone())?);
+        self.serve(source::serve_http(listener, actor.clone())?);
         self.source = Some(actor);
         Ok(())
     }
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -48,6 +48,8 @@
 const SILENT_HEARTBEATS: u64 = 3;
 /// Number of election timeouts without a leader after which none is expected any more.
 const LEADERLESS_ELECTIONS: u64 = 3;
+/// The same at the first start of a site, whose members create their files first.
+const FORMING_ELECTIONS: u64 = 10;
 /// Number of applied entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 10_000;
 /// Size of the applied entries after which a snapshot is taken, even if they are few.
@@ -407,39 +409,59 @@
         relay.set_preferred(leader);
     }
 
-    /// Returns the leader's addresses for operators (HTTP) and for relays.
-    pub(crate) fn leader_addresses(&self) -> Option<(String, String)> {
-        let leader = match &self.stage {
+    /// Returns the leader, as far as this member knows it.
+    fn leader(&self) -> Option<&Voter> {
+        match &self.stage {
             Stage::Member(replica) => replica.membership().member(replica.leader()?),
             Stage::Failed(observer) => observer.leader(),
-            Stage::Forming(_) => None,
+            Stage::Forming(formation) => formation.leader(monotonic_ms()),
+        }
+    }
+
+    /// Returns the leader, unless it has not been heard of for too long.
+    pub(crate) fn live_leader(&self) -> Option<&Voter> {
+        let longest_silence =
+            SILENT_HEARTBEATS * self.election_ms() / HEARTBEATS_PER_ELECTION_TIMEOUT;
+        let is_recent = |heard_ms: Millis| monotonic_ms() <= heard_ms + longest_silence;
+        let is_live = match &self.stage {
+            Stage::Member(replica) if replica.role() == RoleName::Leader => {
+                self.is_current_leader()
+            }
+            Stage::Member(replica) => is_recent(replica.last_leader_contact()),
+            Stage::Failed(observer) => is_recent(observer.heard_ms()),
+            Stage::Forming(_) => true,
         };
-        leader.map(|voter| (voter.http.clone(), voter.listen.clone()))
+        self.leader().filter(|_| is_live)
+    }
+
+    /// Returns the leader's addresses for operators (HTTP) and for relays.
+    pub(crate) fn leader_addresses(&self) -> Option<(String, String)> {
+        self.leader().map(|voter| (voter.http.clone(), voter.listen.clone()))
+    }
+
+    fn election_ms(&self) -> Millis {
+        self.options.election_timeout.as_millis() as Millis
     }
 
     /// Returns an error or a redirect unless this member is the leader with a valid lease.
     pub(crate) fn reject_unless_leader(&self) -> Option<Response> {
-        let detail = "no leader is known at present; try again shortly";
-        let now = monotonic_ms();
-        let election = self.options.election_timeout.as_millis() as Millis;
-        let longest_silence = SILENT_HEARTBEATS * election / HEARTBEATS_PER_ELECTION_TIMEOUT;
-        let is_silent = match &self.stage {
-            _ if self.is_current_leader() => return None,
-            Stage::Forming(_) => {
-                let detail = "the member has not joined a group yet";
-                return Some(Response::problem(ResultCode::NoLeader, detail));
-            }
-            Stage::Member(replica) => {
-                replica.role() == RoleName::Leader
-                    || now > replica.last_leader_contact() + longest_silence
-            }
-            Stage::Failed(observer) => now > observer.heard_ms() + longest_silence,
+        if self.is_current_leader() {
+            return None;
+        }
+        let is_forming = matches!(self.stage, Stage::Forming(_));
+        let elections = match is_forming && self.options.is_first_start {
+            true => FORMING_ELECTIONS,
+            false => LEADERLESS_ELECTIONS,
         };
-        let leader = self.leader_addresses().filter(|_| !is_silent);
+        let wait_time = elections * self.election_ms();
         let is_election_due =
-            self.leaderless_since.is_none_or(|at| now < at + LEADERLESS_ELECTIONS * election);
-        Some(match leader {
-            Some((http, _)) => Response::Redirect(http),
+            self.leaderless_since.is_none_or(|at| monotonic_ms() < at + wait_time);
+        let detail = match is_forming {
+            true => "the member has not joined a group yet",
+            false => "no leader is known at present; try again shortly",
+        };
+        Some(match self.live_leader() {
+            Some(leader) => Response::Redirect(leader.http.clone()),
             None if is_election_due => Response::Unready(detail),
             None => Response::problem(ResultCode::NoLeader, detail),
         })
--- a/crates/daemon/src/source/forming.rs
+++ b/crates/daemon/src/source/forming.rs
@@ -66,6 +66,8 @@
     }
 
     /// Handles an offer: replies to a member with the membership, and passes any other process to the leader to add.
+    ///
+    /// Until it is added, such a process can send operators to the leader, too.
     pub(crate) fn handle_offer(&mut self, message: Box<Peer>) {
         let Stage::Member(replica) = &self.stage else { return };
         let Some(peer::Body::Offer(body)) = &message.body else { return };
@@ -78,31 +80,38 @@
         if self.options.id.is_some() {
             return;
         }
-        match replica.role() {
-            RoleName::Leader => {
-                self.membership_controller
-                    .record_offer(voter_from_offer(&message, body), self.now());
-            }
-            _ => {
-                if let Some(leader) = replica.leader() {
-                    self.send(leader, message);
-                }
-            }
+        let voter = voter_from_offer(&message, body);
+        let address = voter.listen.clone();
+        match (replica.role(), replica.leader()) {
+            (RoleName::Leader, _) => self.membership_controller.record_offer(voter, self.now()),
+            (_, Some(leader)) => self.send(leader, message),
+            (_, None) => {}
+        }
+        if let (Some(leader), Stage::Member(replica)) = (self.live_leader(), &self.stage) {
+            let leader = peer::Body::Leader(leader.clone());
+            let message = self.outside_message(replica, leader);
+            self.send_to(&address, message);
         }
     }
 
-    /// Sends the membership to a member that does not know its group yet.
-    fn send_membership(&mut self, id: MemberId) {
-        let Stage::Member(replica) = &self.stage else { return };
-        let Some(invitation) = replica.invitation() else { return };
-        let message = Peer {
+    /// Creates a message to a process that doesn't know its group yet.
+    fn outside_message(&self, replica: &Replica, body: peer::Body) -> Box<Peer> {
+        Box::new(Peer {
             from: self.identity.id.get(),
             disk: self.identity.disk,
             group: replica.membership().group,
             term: 0,
-            body: Some(invitation),
-        };
-        self.send(id, Box::new(message));
+            body: Some(body),
+        })
+    }
+
+    /// Sends the membership to a member that does not know its group yet.
+    fn send_membership(&mut self, id: MemberId) {
+        let Stage::Member(replica) = &self.stage else { return };
+        if let Some(invitation) = replica.invitation() {
+            let message = self.outside_message(replica, invitation);
+            self.send(id, message);
+        }
     }
 
     /// As leader, proposes the next membership change; after too long without a leader, offers to join again.
--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use crate::error::StartError;
-use crate::listener::serve_management;
+use crate::listener::{Listener, serve_management};
 use crate::metrics;
 use crate::source::SourceActor;
 use crate::source::members::MemberChange;
@@ -65,12 +65,12 @@
 
 /// Starts the HTTP server of the operator API.
 pub(crate) fn serve_http(
-    address: SocketAddr,
+    listener: Listener,
     actor: Addr<SourceActor>,
 ) -> Result<Server, StartError> {
     let actor = web::Data::new(actor);
     let limit = (MAX_PATCH_SIZE.get() + MAX_PATCH_OVERHEAD.get()) as usize;
-    serve_management(&[address], move |app| {
+    serve_management([listener], move |app| {
         app.app_data(web::Data::clone(&actor))
             .app_data(web::PayloadConfig::new(limit))
             .route("/v1/versions", web::post().to(submit))
--- a/crates/testing/src/plaintext_site.rs
+++ b/crates/testing/src/plaintext_site.rs
@@ -331,10 +331,19 @@
 
     /// Deletes the data folder of a member that is not running; from then on it starts as a new member.
     pub fn wipe(&mut self, name: &str) {
+        self.delete_data(name, false);
+    }
+
+    /// Deletes the data folder of a member that is not running; from then on it starts as at the first start of the site.
+    pub fn wipe_for_first_start(&mut self, name: &str) {
+        self.delete_data(name, true);
+    }
+
+    fn delete_data(&mut self, name: &str, is_first_start: bool) {
         let number = member_number(name).expect("the name of a member");
         let data = self.folder.path().join(format!("data-{number}"));
         std::fs::remove_dir_all(data).expect("the folder can be removed");
-        let settings = self.member_settings(number, false);
+        let settings = self.member_settings(number, is_first_start);
         self.write_settings(name, &settings);
     }
 
