Config: decoding an update takes no more memory than the update

What operators saw: with a limit of 256 MB on the address space of each process, three of five members ended at the first version ('memory allocation of bytes failed'), and no further order was confirmed.

Cause: each compressed update was decompressed into a buffer of the largest size allowed, 64 MiB.

Change: the buffer has the size that the compressed data states; data that states none, or too much, is refused.

--- a/crates/config/src/frame.rs
+++ b/crates/config/src/frame.rs
@@ -17,9 +17,12 @@
 /// Reason why an update can't be decoded.
 #[derive(Debug, Error)]
 pub enum FrameError {
-    /// The compressed data is corrupt or too large.
+    /// The compressed data is corrupt.
     #[error("the update can't be decompressed: {0}")]
     Compression(#[from] std::io::Error),
+    /// The compressed data states no size, or one above the limit.
+    #[error("the update states no size up to {MAX_UPDATE_SIZE}")]
+    Size,
     /// The message is corrupt.
     #[error("the update can't be decoded: {0}")]
     Decode(#[from] prost::DecodeError),
@@ -87,9 +90,19 @@
     let update = match frame.encoding() {
         Encoding::Plain => Update::decode(frame.body.as_ref())?,
         Encoding::Zstd => {
-            let body = zstd::bulk::decompress(&frame.body, MAX_UPDATE_SIZE.as_usize())?;
+            let body = zstd::bulk::decompress(&frame.body, decompressed_size(&frame.body)?)?;
             Update::decode(body.as_slice())?
         }
     };
     Ok(update)
 }
+
+/// Returns the size that compressed data states; a buffer of that size is allocated for it.
+fn decompressed_size(data: &[u8]) -> Result<usize, FrameError> {
+    match zstd::zstd_safe::get_frame_content_size(data) {
+        Ok(Some(size)) if size <= MAX_UPDATE_SIZE.get() => {
+            usize::try_from(size).map_err(|_too_large| FrameError::Size)
+        }
+        _ => Err(FrameError::Size),
+    }
+}
--- a/crates/testing/src/soak/platform_day.rs
+++ b/crates/testing/src/soak/platform_day.rs
@@ -168,6 +168,11 @@
         (orders, departures.join().expect("the targets do not panic"))
     });
     read_back(&addresses, progress.newest_number(), &observations);
+    for name in site.names() {
+        if site.has_exited(&name) {
+            observations.record_violation(format!("{name} has ended by itself"));
+        }
+    }
     check_times(&orders, &departures, &observations);
     let calls = (counts.sent.load(Ordering::Relaxed), counts.served.load(Ordering::Relaxed));
     let violations = observations.violations();
