Testing: the platform's names and fields stay in platform/

names_stay_outside found header and field names in platform_day. platform/fields.json now lists an example of each field, with which the rig fills in the templates; headers and addresses are read from the rendered settings.

--- a/crates/testing/src/platform_settings.rs
+++ b/crates/testing/src/platform_settings.rs
@@ -1,73 +1,73 @@
 //! Settings of processes, rendered from the templates in `platform/` as the platform does it.
 
+use std::sync::OnceLock;
+
+use serde::Deserialize;
 use serde_json::{Value, json};
 
+/// Values of the placeholders, in which words that begin with `@` stand for those of one process.
+const FIELDS: &str = include_str!("../../../platform/fields.json");
 const MEMBER_TEMPLATE: &str = include_str!("../../../platform/source.json");
 const NODE_TEMPLATE: &str = include_str!("../../../platform/node.json");
 
-/// Ports on the address of each VM.
+/// A process whose settings are rendered.
 #[derive(Debug)]
-pub(crate) struct PlatformPorts {
-    pub(crate) outbound: u16,
-    pub(crate) inbound: u16,
-    pub(crate) readiness: u16,
-    pub(crate) admin: u16,
-    pub(crate) app: u16,
-    /// First and last port for links between processes.
-    internal: (u16, u16),
+pub(crate) struct RenderedProcess<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) zone: &'a str,
+    pub(crate) host: &'a str,
+    pub(crate) seeds: &'a [String],
 }
 
-/// Ports of all VMs.
-pub(crate) const PLATFORM_PORTS: PlatformPorts = PlatformPorts {
-    outbound: 8_141,
-    inbound: 8_145,
-    readiness: 8_140,
-    admin: 8_146,
-    app: 8_147,
-    internal: (7_660, 7_675),
-};
+impl RenderedProcess<'_> {
+    /// Returns the settings of a source member.
+    pub(crate) fn member(&self, data: &str, is_first_start: bool) -> Value {
+        render(MEMBER_TEMPLATE, &self.fields("", data, is_first_start))
+    }
 
-/// Returns the settings of a source member.
-pub(crate) fn member(
-    name: &str,
-    zone: &str,
-    host: &str,
-    seeds: &[String],
-    data: &str,
-    is_first_start: bool,
-) -> Value {
-    let mut values = common_values(name, zone, host, seeds);
-    values["data_dir"] = json!(data);
-    values["bootstrap"] = json!(is_first_start);
-    render(MEMBER_TEMPLATE, &values)
+    /// Returns the settings of a node.
+    pub(crate) fn node(&self, service: &str) -> Value {
+        render(NODE_TEMPLATE, &self.fields(service, "", true))
+    }
+
+    fn fields(&self, service: &str, data: &str, is_first_start: bool) -> Value {
+        let Self { name, zone, host, seeds } = self;
+        let text = FIELDS
+            .replace("@name", name)
+            .replace("@zone", zone)
+            .replace("@host", host)
+            .replace("@seeds", &json!(seeds).to_string())
+            .replace("@service", service)
+            .replace("@data", data)
+            .replace("@first", &is_first_start.to_string());
+        serde_json::from_str(&text).expect("the fields are JSON")
+    }
 }
 
-/// Returns the settings of a node.
-pub(crate) fn node(name: &str, zone: &str, host: &str, seeds: &[String], service: &str) -> Value {
-    let mut values = common_values(name, zone, host, seeds);
-    values["service"] = json!(service);
-    values["app_address"] = json!(format!("{host}:{}", PLATFORM_PORTS.app));
-    values["bounds"] = json!({ "grace_s": 6, "budget_ratio": 0.2, "budget_window_s": 10,
-        "budget_slack": 60, "warmup_factor": 1.5, "warmup_slack": 5 });
-    render(NODE_TEMPLATE, &values)
+/// Names of headers on the platform.
+#[derive(Debug, Deserialize)]
+pub(crate) struct HeaderNames {
+    /// Id of a call.
+    pub(crate) call: String,
+    /// Time that the caller still waits, in milliseconds.
+    pub(crate) time_left: String,
+    /// Mark of a target's response.
+    pub(crate) seal: String,
+    /// Target that is to run a call.
+    pub(crate) instance: String,
+    /// Mark of a response to a call that has not run.
+    pub(crate) not_run: String,
+    /// Target that responds to a health check.
+    pub(crate) own_instance: String,
 }
 
-fn common_values(name: &str, zone: &str, host: &str, seeds: &[String]) -> Value {
-    let address = |port: u16| format!("{host}:{port}");
-    let PlatformPorts { outbound, inbound, readiness, admin, internal: (first, last), .. } =
-        PLATFORM_PORTS;
-    json!({
-        "node_name": name,
-        "zone": zone,
-        "ip": host,
-        "seeds": seeds,
-        "internal_port_range": [first, last],
-        "listen": {
-            "outbound": address(outbound),
-            "inbound": address(inbound),
-            "readiness": address(readiness),
-            "admin": address(admin),
-        },
+/// Returns the names of headers on the platform.
+pub(crate) fn header_names() -> &'static HeaderNames {
+    static NAMES: OnceLock<HeaderNames> = OnceLock::new();
+    NAMES.get_or_init(|| {
+        let process = RenderedProcess { name: "", zone: "", host: "", seeds: &[] };
+        let names = process.node("")["node"]["headers"].clone();
+        serde_json::from_value(names).expect("the template names all headers")
     })
 }
 
--- a/crates/testing/src/soak/platform_day/callers.rs
+++ b/crates/testing/src/soak/platform_day/callers.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::plaintext_site::RawResponse;
+use crate::platform_settings::{HeaderNames, header_names};
 use crate::soak::load::Observations;
 
 /// Calls per second of all callers together.
@@ -236,11 +237,11 @@
         time_left: Duration,
     ) -> Option<RawResponse> {
         let Kind { method, name, is_idempotent, .. } = self.kind;
+        let HeaderNames { call, time_left: time_header, .. } = header_names();
         let length = if *is_idempotent { 0 } else { 1_200 };
         let head = format!(
-            "{method} /{name}/1 HTTP/1.1\r\nhost: {name}.example\r\n\
-             kingcuplift-attempt-id: {}.{attempt}\r\nkingcuplift-deadline-ms: {}\r\n\
-             content-length: {length}\r\n\r\n",
+            "{method} /{name}/1 HTTP/1.1\r\nhost: {name}.example\r\n{call}: {}.{attempt}\r\n\
+             {time_header}: {}\r\ncontent-length: {length}\r\n\r\n",
             self.id,
             time_left.as_millis()
         );
@@ -266,7 +267,7 @@
 
     fn check(&self, attempt: u32, response: &RawResponse, observations: &Observations) {
         let id = format!("{}.{attempt}", self.id);
-        let is_sealed = response.header("kingcuplift-response-seal").is_some();
+        let is_sealed = response.header(&header_names().seal).is_some();
         if !is_sealed || !response.body.starts_with(id.as_bytes()) {
             observations.record_violation(format!("call {id} got another response"));
         }
