Source: a leader checks a configuration once

A leader checked a configuration before it proposed it, and did the same work again once it was committed, both on the event loop that sends its heartbeats. It now keeps the staged changes, and uses them if the patch and the version of the document are the same; both determine the result, so that all members still compute the same. catalog_matches_model prepares half of its submissions, among them such that are applied later, or never.

--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -85,6 +85,15 @@
     outcome: Outcome,
 }
 
+/// Changes of a patch that is expected to be applied next.
+#[derive(Debug, Clone)]
+struct PreparedChanges {
+    patch: String,
+    /// Version that the patch makes; it determines the document to which the patch applies.
+    version: Version,
+    staged: StagedChanges,
+}
+
 /// Reason why stored state can't be decoded.
 #[derive(Debug, Error)]
 pub enum CatalogError {
@@ -107,6 +116,7 @@
     /// Operation ids in order of application.
     order: VecDeque<String>,
     revision: Revision,
+    prepared: Option<PreparedChanges>,
 }
 
 impl Catalog {
@@ -177,12 +187,36 @@
         is_active.then_some(Outcome::Accepted(self.revision.version))
     }
 
+    /// Checks the changes of a submission to the current document, and keeps them for [`Self::apply`].
+    ///
+    /// A leader checks a configuration before it proposes it; doing the same work again, once it is committed, would hold up
+    /// its heartbeats for twice as long.
+    pub fn prepare(&mut self, submission: &Submission) -> Result<(), Outcome> {
+        let staged = self.stage(submission)?;
+        let (patch, version) = (submission.patch.clone(), self.head().next());
+        self.prepared = Some(PreparedChanges { patch, version, staged });
+        Ok(())
+    }
+
+    /// Returns the prepared changes, if the patch and the document are the same.
+    fn take_prepared(&mut self, submission: &Submission) -> Option<StagedChanges> {
+        let prepared = self.prepared.take()?;
+        let is_same = prepared.version == self.head().next() && prepared.patch == submission.patch;
+        is_same.then_some(prepared.staged)
+    }
+
+    fn stage(&self, submission: &Submission) -> Result<StagedChanges, Outcome> {
+        let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
+        patch.stage(self.current.document(), self.head().next()).map_err(Outcome::refused)
+    }
+
     /// Applies a submission and returns its outcome.
     pub fn apply(&mut self, submission: &Submission) -> Outcome {
         if let Some(outcome) = self.recorded_outcome(submission) {
             return outcome;
         }
-        let outcome = match self.check(submission) {
+        let prepared = self.take_prepared(submission);
+        let outcome = match self.check(submission, prepared) {
             Ok(staged) => Outcome::Accepted(self.accept(submission, staged)),
             Err(outcome) => outcome,
         };
@@ -236,8 +270,12 @@
         Ok(catalog)
     }
 
-    /// Validates a submission against the current state.
-    fn check(&self, submission: &Submission) -> Result<StagedChanges, Outcome> {
+    /// Validates a submission against the current state; `prepared` are its changes, if they are known already.
+    fn check(
+        &self,
+        submission: &Submission,
+        prepared: Option<StagedChanges>,
+    ) -> Result<StagedChanges, Outcome> {
         let head = self.head();
         self.check_revision(submission)?;
         let base = match submission.at_head {
@@ -255,8 +293,10 @@
             );
             return Err(refusal(ResultCode::BaseUnknown, "base", &detail));
         }
-        let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
-        let staged = patch.stage(self.current.document(), head.next()).map_err(Outcome::refused)?;
+        let staged = match prepared {
+            Some(staged) => staged,
+            None => self.stage(submission)?,
+        };
         let is_relevant =
             |key: &ResourceKey| submission.revision == 0 || key.kind.is_replaced_by_revision();
         self.check_base(base, &staged, is_relevant)?;
--- a/crates/config/tests/catalog_model.rs
+++ b/crates/config/tests/catalog_model.rs
@@ -206,6 +206,8 @@
     behind: u8,
     number: Option<i8>,
     patch: Value,
+    /// Whether the catalog prepares the changes before it applies them.
+    is_prepared: bool,
 }
 
 fn any_draft() -> impl Strategy<Value = Draft> {
@@ -217,12 +219,15 @@
         patch
     });
     let number = prop_oneof![4 => Just(None), 1 => (0..3_i8).prop_map(Some)];
-    (any::<u8>(), 0..4_u8, number, patch).prop_map(|(operation, behind, number, patch)| Draft {
-        operation,
-        behind,
-        number,
-        patch,
-    })
+    (any::<u8>(), 0..4_u8, number, patch, any::<bool>()).prop_map(
+        |(operation, behind, number, patch, is_prepared)| Draft {
+            operation,
+            behind,
+            number,
+            patch,
+            is_prepared,
+        },
+    )
 }
 
 fn submission(model: &Model, draft: &Draft) -> Submission {
@@ -274,6 +279,10 @@
         let submission = submission(&tested.model, &draft);
         let mut model = tested.model.clone();
         let expected = model.submit(&submission);
+        if draft.is_prepared {
+            // A patch that can't be prepared is refused when it is applied, too.
+            let _prepared = tested.catalog.prepare(&submission);
+        }
         let outcome = tested.catalog.apply(&submission);
         match (&expected, &outcome) {
             (Expected::Accepted(version), Outcome::Accepted(got)) => {
--- a/crates/daemon/src/source/operators.rs
+++ b/crates/daemon/src/source/operators.rs
@@ -86,8 +86,7 @@
             return Err(outcome);
         }
         if *after == current.number {
-            let patch = Patch::parse(&submission.patch).map_err(Outcome::refused)?;
-            patch.stage(document, self.catalog.head().next()).map_err(Outcome::refused)?;
+            self.catalog.prepare(&submission)?;
         }
         self.catalog.check_revision(&submission)?;
         Ok(submission)
