--- a/crates/daemon/src/source/http.rs
+++ b/crates/daemon/src/source/http.rs
@@ -247,7 +247,7 @@
         Response::Interrupted("no majority has stored the configuration yet; send it again");
     let message = ReplaceConfig { after, text: body };
     let response = ask_leader(&source, message, Repetition::Safe, pending).await;
-    respond(&request, response)
+    respond(&request, response.without_creation())
 }
 
 async fn show_revision(request: HttpRequest, source: Source) -> HttpResponse {
@@ -273,7 +273,7 @@
         }
         Err(response) => response,
     };
-    respond(&request, response)
+    respond(&request, response.without_creation())
 }
 
 fn parse_move(request: &HttpRequest, body: &[u8]) -> Result<StartMove, Response> {
--- a/crates/daemon/src/source/response.rs
+++ b/crates/daemon/src/source/response.rs
@@ -45,14 +45,20 @@
         }
     }
 
+    /// Returns the response to a request that replaces or starts something in place: 200, not 201.
+    pub(crate) fn without_creation(self) -> Self {
+        match self {
+            Self::Accepted(version) => Self::Document(version_body(version)),
+            response => response,
+        }
+    }
+
     /// Converts to an HTTP response; `path` is the request's path and query, used for redirects.
     pub(crate) fn into_response(self, path: &str) -> HttpResponse {
         match self {
             Self::Document(document) => HttpResponse::Ok().json(document),
             Self::Text(text) => HttpResponse::Ok().content_type("application/json").body(text),
-            Self::Accepted(version) => {
-                HttpResponse::Created().json(json!({ "version": version.get() }))
-            }
+            Self::Accepted(version) => HttpResponse::Created().json(version_body(version)),
             Self::Problem(problem) => problem.into_response(),
             Self::Redirect(address) => HttpResponse::build(StatusCode::TEMPORARY_REDIRECT)
                 .insert_header((LOCATION, format!("http://{address}{path}")))
@@ -64,3 +70,7 @@
         }
     }
 }
+
+fn version_body(version: Version) -> serde_json::Value {
+    json!({ "version": version.get() })
+}
