--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -15,8 +15,8 @@
   name=$(trim "$name") file=$(trim "$file") from=$(trim "$from") to=$(trim "$to")
   [[ $name == *${1:-}* ]] || continue
   cp -a --no-preserve=timestamps Cargo.toml Cargo.lock "$copy/"
-  rm -rf "$copy/crates"
-  cp -a crates "$copy/crates"
+  rm -rf "$copy/crates" "$copy/platform"
+  cp -a crates platform "$copy/"
   FROM=$(printf '%b' "$from") TO=$(printf '%b' "$to") perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/ or die "text not found\n"' "$copy/crates/$file"
   touch "$copy/crates/$file"
   package=kingcuplift-${file%%/*}
