--- a/crates/testing/examples/platform_day.rs
+++ b/crates/testing/examples/platform_day.rs
@@ -40,6 +40,9 @@
     /// write the logs to pipes that are read slowly
     #[argh(switch)]
     slow_logs: bool,
+    /// take a zone out of service or back in at the time of each configuration
+    #[argh(switch)]
+    zone_orders: bool,
     /// folder for the logs of days that fail
     #[argh(option, default = "std::env::temp_dir()")]
     logs: PathBuf,
@@ -59,6 +62,7 @@
             first_order: Duration::from_millis(arguments.first_order_ms),
             gone_members: arguments.gone_members,
             slow_logs: arguments.slow_logs,
+            zone_orders: arguments.zone_orders,
         });
         println!("seed {seed}\n{report}");
         if !report.violations.is_empty() {
--- a/crates/testing/src/soak/platform_day.rs
+++ b/crates/testing/src/soak/platform_day.rs
@@ -41,6 +41,8 @@
 /// Times at which targets leave, in seconds after the first calls, and how.
 const DEPARTURES: [(f64, Departure); 3] =
     [(6.0, Departure::Report), (16.0, Departure::Delete), (28.0, Departure::Report)];
+/// Zone that a second operator takes out of service.
+const EVACUATED_ZONE: &str = "c";
 /// Interval of the reads of the configuration during the day.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after its confirmation from which every read must return a version or a newer one.
@@ -73,12 +75,14 @@
     pub gone_members: usize,
     /// Whether the logs go to pipes that are read slowly.
     pub slow_logs: bool,
+    /// Whether a second operator takes a zone out of service or back in at the time of each configuration.
+    pub zone_orders: bool,
 }
 
 /// Result of a platform day.
 #[derive(Debug)]
 pub struct PlatformDayReport {
-    /// Orders in their order; the first one is the first configuration.
+    /// Configurations in their order, and then the orders on zones.
     pub orders: Vec<PlannedOrder>,
     /// Time until the node of each target that left has confirmed that; `None` if it has not.
     pub departures: Vec<Option<Duration>>,
@@ -161,8 +165,15 @@
         let addresses = &addresses;
         scope.spawn(move || read_during_day(addresses, options.seed, progress, observations, over));
         let departures = scope.spawn(|| leave(&targets, origin));
+        let zone_orders = options.zone_orders.then(|| {
+            let operator = Operator::new(addresses.clone(), !options.seed);
+            scope.spawn(move || send_zone_orders(operator, origin))
+        });
         refuse_writes(&site, &progress.confirmer, origin);
-        let orders = orders.join().expect("the operator does not panic");
+        let mut orders = orders.join().expect("the operator does not panic");
+        if let Some(zone_orders) = zone_orders {
+            orders.extend(zone_orders.join().expect("the operator does not panic"));
+        }
         std::thread::sleep(LAST_CALM_TIME);
         is_over.store(true, Ordering::Release);
         (orders, departures.join().expect("the targets do not panic"))
@@ -229,18 +240,36 @@
             headers: format!("if-match: {after}\r\ncontent-type: application/json\r\n"),
             body: document(number, options.idle_routes).to_string(),
         };
-        let sent_at = Instant::now();
-        let report = operator.send(&order);
-        if report.is_confirmed() {
+        let planned = send_planned(&mut operator, &order, origin);
+        if planned.report.is_confirmed() {
             lock(&progress.confirmed).push(Confirmed { number, at: Instant::now() });
-            *lock(&progress.confirmer) = report.last_address().map(str::to_owned);
+            *lock(&progress.confirmer) = planned.report.last_address().map(str::to_owned);
         }
-        let sent_at = sent_at.saturating_duration_since(origin).as_secs_f64();
-        orders.push(PlannedOrder { sent_at, report });
+        orders.push(planned);
     }
     orders
 }
 
+/// Takes a zone out of service and back in, in turn, at the times of the configurations.
+fn send_zone_orders(mut operator: Operator, origin: Instant) -> Vec<PlannedOrder> {
+    let orders = ORDER_TIMES.iter().zip(["out", "in"].iter().cycle()).map(|(time, state)| {
+        sleep_until(origin + Duration::from_secs_f64(*time));
+        let order = Order {
+            method: "POST",
+            path: format!("/v1/zones/{EVACUATED_ZONE}/{state}"),
+            headers: String::new(),
+            body: String::new(),
+        };
+        send_planned(&mut operator, &order, origin)
+    });
+    orders.collect()
+}
+
+fn send_planned(operator: &mut Operator, order: &Order, origin: Instant) -> PlannedOrder {
+    let sent_at = Instant::now().saturating_duration_since(origin).as_secs_f64();
+    PlannedOrder { sent_at, report: operator.send(order) }
+}
+
 /// Returns the configuration with a number; the timeouts change with it.
 fn document(number: u64, idle_routes: usize) -> Value {
     let service = json!({ "health": "/health", "connections": 120, "protocol": "h1", "tls": false,
