--- a/crates/quorum/src/folder.rs
+++ b/crates/quorum/src/folder.rs
@@ -114,7 +114,9 @@
             let started = thread.spawn_scoped(scope, sync_names);
             file.sync_data()?;
             match started {
-                Ok(thread) => thread.join().unwrap_or_else(|_| Err(io::Error::other("panicked"))),
+                Ok(thread) => {
+                    thread.join().unwrap_or_else(|_| Err(io::Error::other("the sync panicked")))
+                }
                 // Without a thread, one sync follows the other.
                 Err(_) => sync_names(),
             }
