--- a/review/stand_ins_2/common.rs
+++ b/review/stand_ins_2/common.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 /// Interval of the status reports of an endpoint (`heartbeat_s`).
@@ -28,9 +29,17 @@
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
 }
 
+/// Ids of the processes that run; a script that gives up ends them.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// Ends the script because the case could not run.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let running = RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    for id in running.iter() {
+        // SAFETY: a signal to a process that this script started and has not waited for.
+        unsafe { kill(*id as i32, SIGKILL) };
+    }
     std::process::exit(2);
 }
 
@@ -340,6 +349,7 @@
             .stderr(errors)
             .spawn();
         let child = child.unwrap_or_else(|error| give_up(&format!("kingcupliftd: {error}")));
+        RUNNING.lock().unwrap().push(child.id());
         self.running.insert(name.to_owned(), child);
         // `bootstrap` is true at the first start only.
         if let Some(later) = self.settings.get(&format!("{name}-later")).cloned() {
@@ -358,8 +368,7 @@
     /// Kills a process (SIGKILL).
     pub fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.running.remove(name) {
-            let _ = child.kill();
-            let _ = child.wait();
+            end(&mut child);
         }
         self.record.say(format!("SIGKILL {name}"));
     }
@@ -373,8 +382,12 @@
 
     /// Returns whether a process has ended.
     pub fn has_ended(&mut self, name: &str) -> bool {
-        let child = self.running.get_mut(name);
-        child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+        let Some(child) = self.running.get_mut(name) else { return true };
+        let has_ended = matches!(child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            RUNNING.lock().unwrap().retain(|id| *id != child.id());
+        }
+        has_ended
     }
 
     pub fn log(&self, name: &str) -> String {
@@ -465,10 +478,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        for child in self.running.values_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.running.values_mut().for_each(end);
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         } else {
@@ -477,6 +487,13 @@
     }
 }
 
+/// Kills a process and waits for its end.
+fn end(child: &mut Child) {
+    RUNNING.lock().unwrap().retain(|id| *id != child.id());
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 fn quoted(text: &str) -> String {
     format!("\"{text}\"")
 }
