--- a/crates/cli/tests/departed_targets.rs
+++ b/crates/cli/tests/departed_targets.rs
@@ -13,6 +13,8 @@
 const BORN: u64 = 1_000;
 /// Time for which calls are sent after the restart.
 const LOAD_TIME: Duration = Duration::from_secs(3);
+/// Lease of a target after a report.
+const LEASE: Duration = Duration::from_secs(6);
 
 /// How a target says that it leaves.
 #[derive(Debug, Clone, Copy)]
@@ -67,24 +69,81 @@
         (report_desk(site, "node-1", &targets[0], &late).status == 200).then_some(())
     });
     site.wait("the restarted node", |site| is_node_ready(site, "node-1").then_some(()));
+    expect_no_calls(&site, &targets[0]);
+    expect_next_life(&site, &targets[0]);
+}
+
+/// Calls both nodes for a while and checks that none of the calls reaches the target beside `node-1`.
+fn expect_no_calls(site: &PlaintextSite, departed: &ScriptedTarget) {
     std::thread::sleep(Duration::from_millis(500));
-    let before = targets[0].requests().len();
+    let before = departed.requests().len();
     let began_at = Instant::now();
     let mut number = 0;
     while began_at.elapsed() < LOAD_TIME {
         let node = format!("node-{}", number % 2 + 1);
-        let response = call_desk(&site, &node, "GET", "/read/1", &format!("c-{number}"));
+        let response = call_desk(site, &node, "GET", "/read/1", &format!("c-{number}"));
         assert_eq!(response.status, 200, "the other target answers");
         number += 1;
     }
-    let late_calls = targets[0].requests().len() - before;
+    let late_calls = departed.requests().len() - before;
     assert_eq!(late_calls, 0, "of {number} calls, some reached a target that had left");
+}
+
+/// Checks that the next life of the target beside `node-1` gets calls.
+fn expect_next_life(site: &PlaintextSite, target: &ScriptedTarget) {
+    let before = target.requests().len();
     let next_life = json!({ "born": BORN + 1, "sequence": 1 });
-    assert_eq!(report_desk(&site, "node-1", &targets[0], &next_life).status, 200);
+    assert_eq!(report_desk(site, "node-1", target, &next_life).status, 200);
     site.wait("calls at the next life of the target", |site| {
         call_desk(site, "node-1", "GET", "/read/1", "c-next");
-        (targets[0].requests().len() > before).then_some(())
+        (target.requests().len() > before).then_some(())
+    });
+}
+
+/// Why a node does not know a target that deregisters.
+#[derive(Debug, Clone, Copy)]
+enum Unknown {
+    /// The target's lease has ended: its reports were lost.
+    LeaseEnded,
+    /// The node has just started.
+    Restarted,
+}
+
+/// A node confirmed the departure of a target that it didn't know, and took it into use again by a report from before.
+#[rstest]
+fn unknown_target_deregisters(
+    #[values(Unknown::LeaseEnded, Unknown::Restarted)] reason: Unknown,
+    #[values(json!({ "born": BORN }).to_string(), String::new())] deregistration: String,
+) {
+    let targets: [_; 2] =
+        std::array::from_fn(|_| ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO)));
+    let mut site = start_desk_nodes(&targets, &json!({}));
+    // The other target keeps its lease meanwhile.
+    let renew = |site: &PlaintextSite, sequence: u64| {
+        report_desk(site, "node-2", &targets[1], &json!({ "sequence": sequence }));
+    };
+    match reason {
+        Unknown::LeaseEnded => {
+            for sequence in 2..LEASE.as_secs() + 3 {
+                std::thread::sleep(Duration::from_secs(1));
+                renew(&site, sequence);
+            }
+        }
+        Unknown::Restarted => {
+            site.kill("node-1");
+            site.start_process("node-1");
+        }
+    }
+    site.wait("the confirmation", |site| {
+        let admin = &site.addresses("node-1").admin;
+        let left = request(admin, "DELETE", "/v1/instances/i-1", "", &deregistration);
+        (left.status == 200).then_some(())
     });
+    let late = report_desk(&site, "node-1", &targets[0], &json!({ "sequence": 8 }));
+    assert_eq!(late.status, 200);
+    site.wait("the node", |site| is_node_ready(site, "node-1").then_some(()));
+    renew(&site, 20);
+    expect_no_calls(&site, &targets[0]);
 }
 
 /// Reports without a start time are ordered by their sequence within one life only.
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -18,7 +18,7 @@
     UpdateFrame, Upward, downward, upward,
 };
 use kingcuplift_traffic::{
-    AdmissionPolicy, Leases, MergeResult, RoutingView, TargetKey, TargetTable,
+    AdmissionPolicy, Departures, Leases, MergeResult, RoutingView, TargetKey, TargetTable,
 };
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
@@ -72,10 +72,7 @@
     leases: Leases,
     incarnations: HashMap<TargetKey, u64>,
     instances: HashMap<TargetKey, KnownInstance>,
-    /// Latest start time of the instances that have ended here, in milliseconds since the Unix epoch.
-    latest_ended_start_ms: u64,
-    /// Start time and sequence number of the latest report in which a target here said that it leaves.
-    latest_leaving: Option<(u64, u64)>,
+    departures: Departures,
     relay_addresses: UpstreamAddresses,
     /// Whether the node's availability zone is out of service.
     is_zone_out: bool,
@@ -119,8 +116,7 @@
             leases: Leases::default(),
             incarnations: HashMap::new(),
             instances: HashMap::new(),
-            latest_ended_start_ms: 0,
-            latest_leaving: None,
+            departures: Departures::default(),
             relay_addresses,
             is_zone_out: false,
             is_closing: false,
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -1,5 +1,6 @@
 //! Local targets: registration, admission limits and announcement to other nodes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,10 +8,12 @@
 use kingcuplift_config::{Document, Kind, Resource, ResourceKey, ServiceSpec};
 use kingcuplift_core::{Event, PerSecond, ServiceName};
 use kingcuplift_schema::control::{Crash, Target, TargetState, TargetUpdate, upward};
-use kingcuplift_traffic::{AdmissionLimits, Lease, TargetKey, WarmupPace, is_zone_out};
+use kingcuplift_traffic::{
+    AdmissionLimits, Lease, ReportPosition, TargetKey, WarmupPace, is_zone_out,
+};
 use smol_str::SmolStr;
 
-use crate::clock::{monotonic_ms, wall_us};
+use crate::clock::{monotonic_ms, wall_ms, wall_us};
 use crate::node::admission::AdmissionController;
 use crate::node::control::messages::{Announce, Deregister, InstanceReport, KnownTargetChecked};
 use crate::node::control::{LEASE_MS, NodeActor};
@@ -53,7 +56,8 @@
         let is_known = self.leases.get(&key).is_some() || target.instance.is_empty();
         let is_gone = target.state() == TargetState::Gone;
         let Some(actor) = self.actor_address.clone() else { return false };
-        if is_known || is_gone || !self.is_adopting() {
+        let has_ended = self.departures.has_ended(&target.instance, target.born, monotonic_ms());
+        if is_known || is_gone || has_ended || !self.is_adopting() {
             return false;
         }
         let (shared, target) = (Arc::clone(&self.shared), target.clone());
@@ -68,24 +72,14 @@
     ///
     /// An instance that has left and was accepted again in the meantime, by a delayed report, is withdrawn.
     pub(super) fn learn_departures(&mut self, target: &Target) {
-        self.latest_ended_start_ms = self.latest_ended_start_ms.max(target.ended_born);
-        // Without a start time, the next life of a target can't be told from the one that left.
-        if target.leaving_sequence > 0 && target.born > 0 {
-            let leaving = (target.born, target.leaving_sequence);
-            self.latest_leaving = self.latest_leaving.max(Some(leaving));
-        }
-        let ended: Vec<TargetKey> = self
-            .instances
-            .iter()
-            .filter(|(_, known)| self.has_ended(&known.report))
-            .map(|(key, _)| key.clone())
-            .collect();
-        if !ended.is_empty() {
-            for key in &ended {
-                Event::TargetDrained.emit(&[("target", key)]);
-            }
-            self.withdraw(&ended, TargetState::Gone);
+        self.departures.record_end(target.ended_born);
+        if target.leaving_sequence > 0 {
+            self.departures.record_leaving(ReportPosition {
+                start_time_ms: target.born,
+                sequence: target.leaving_sequence,
+            });
         }
+        self.withdraw_departed();
         for key in self.mark_leaving() {
             if let Some(local) = self.shared.local_targets.load_full().get(&key) {
                 self.update_admission(&key, local);
@@ -94,14 +88,37 @@
         }
     }
 
+    /// Takes the local targets out of service that have ended, also those that were announced before this node's start.
+    fn withdraw_departed(&mut self) {
+        let instances = self.instances.iter();
+        let reported =
+            instances.filter(|(_, known)| self.has_ended(&known.report)).map(|(key, _)| key);
+        let now = monotonic_ms();
+        let has_ended =
+            |target: &Target| self.departures.has_ended(&target.instance, target.born, now);
+        let is_own = |key: &TargetKey| key.node == self.shared.name.as_str();
+        let announced = self.table.present();
+        let announced =
+            announced.filter(|(key, target)| is_own(key) && has_ended(target)).map(|(key, _)| key);
+        let ended: BTreeSet<TargetKey> = reported.chain(announced).cloned().collect();
+        if ended.is_empty() {
+            return;
+        }
+        for key in &ended {
+            Event::TargetDrained.emit(&[("target", key)]);
+        }
+        let ended: Vec<TargetKey> = ended.into_iter().collect();
+        self.withdraw(&ended, TargetState::Gone);
+    }
+
     /// Marks the instances as leaving that had said so before, and returns their keys.
     fn mark_leaving(&mut self) -> Vec<TargetKey> {
-        let Some(latest) = self.latest_leaving else { return Vec::new() };
         let mut marked = Vec::new();
         for (key, known) in &mut self.instances {
-            if !known.report.is_leaving && known.report.position() <= latest {
+            let sequence = self.departures.leaving_sequence(known.report.position());
+            if let Some(sequence) = sequence.filter(|_| !known.report.is_leaving) {
                 known.report.is_leaving = true;
-                known.report.sequence = latest.1;
+                known.report.sequence = sequence;
                 marked.push(key.clone());
             }
         }
@@ -122,8 +139,8 @@
     }
 
     /// Returns whether a report is from an instance that has ended for good.
-    fn has_ended(&self, report: &InstanceReport) -> bool {
-        report.start_time_ms != 0 && report.start_time_ms <= self.latest_ended_start_ms
+    pub(super) fn has_ended(&self, report: &InstanceReport) -> bool {
+        self.departures.has_ended(&report.instance, report.start_time_ms, monotonic_ms())
     }
 
     /// Returns whether the relay's record of a local target differs from its state here.
@@ -360,8 +377,7 @@
         let known = self.instances.iter().filter(|(key, _)| at_address(key));
         let newest = known.map(|(_, known)| known.report.position()).max();
         let position = report.position();
-        self.has_ended(report)
-            || self.latest_leaving.is_some_and(|leaving| position <= leaving)
+        self.departures.is_outdated(&report.instance, position, monotonic_ms())
             || newest.is_some_and(|newest| position <= newest)
     }
 
@@ -409,6 +425,10 @@
             .get(key)
             .map(|known| (known.report.start_time_ms, known.report.instance.clone()));
         let is_same = previous == Some((report.start_time_ms, report.instance.clone()));
+        match report.is_leaving {
+            true => self.departures.record_leaving(report.position()),
+            false => self.departures.begin_life(&report.instance),
+        }
         self.instances.insert(
             key.clone(),
             KnownInstance {
@@ -459,21 +479,21 @@
     }
 
     /// Takes an instance out of service permanently; a delayed report does not bring it back.
+    ///
+    /// The node may not know the instance: its lease has ended, or the node has just started.
     pub(super) fn deregister(&mut self, deregister: &Deregister) {
-        let is_match = |known: &KnownInstance| {
-            known.report.instance == deregister.instance
-                && (deregister.start_time_ms == 0
-                    || deregister.start_time_ms == known.report.start_time_ms)
-        };
-        let found = self.instances.iter().find(|(_, known)| is_match(known));
-        let Some((key, start_time_ms)) =
-            found.map(|(key, known)| (key.clone(), known.report.start_time_ms))
-        else {
-            return;
+        let Deregister { instance, start_time_ms } = deregister;
+        let known = self.instances.values().find(|known| known.report.instance == *instance);
+        let known_start_ms = known.map(|known| known.report.start_time_ms);
+        let start_time_ms = match *start_time_ms {
+            0 => known_start_ms.unwrap_or(0),
+            stated_ms => stated_ms,
         };
-        self.latest_ended_start_ms = self.latest_ended_start_ms.max(start_time_ms);
-        Event::TargetDrained.emit(&[("target", &key)]);
-        self.withdraw(&[key], TargetState::Gone);
+        self.departures.record_end(start_time_ms);
+        if start_time_ms == 0 || known_start_ms == Some(0) {
+            self.departures.record_undated_end(instance, wall_ms(), monotonic_ms());
+        }
+        self.withdraw_departed();
     }
 
     /// Ends leases and returns the admission control of the targets, whose calls may still be in flight.
@@ -538,7 +558,7 @@
             lost_permille: self.announced_losses(key),
             crashes: self.recent_crashes(key),
             rate_limit: self.stated_limit(key).map(PerSecond::get),
-            ended_born: self.latest_ended_start_ms,
+            ended_born: self.departures.ended_ms(),
             leaving_sequence: self.leaving_sequence(key),
         };
         target.set_state(state);
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -7,7 +7,7 @@
 use actix::{Handler, Message};
 use kingcuplift_core::{Event, ServiceName};
 use kingcuplift_schema::control::{Target, TargetState};
-use kingcuplift_traffic::TargetKey;
+use kingcuplift_traffic::{ReportPosition, TargetKey};
 use smol_str::SmolStr;
 
 use crate::node::admission::AdmissionController;
@@ -42,9 +42,9 @@
 }
 
 impl InstanceReport {
-    /// Returns the start time and the sequence number, by which the reports at one address are ordered.
-    pub(super) fn position(&self) -> (u64, u64) {
-        (self.start_time_ms, self.sequence)
+    /// Returns the position by which the reports at one address are ordered.
+    pub(super) fn position(&self) -> ReportPosition {
+        ReportPosition { start_time_ms: self.start_time_ms, sequence: self.sequence }
     }
 }
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -7,6 +7,7 @@
 mod cold_rush;
 mod concurrency;
 mod crash_log;
+mod departures;
 mod grey_target;
 mod handshakes;
 mod lease;
@@ -40,6 +41,7 @@
 pub use cold_rush::{WarmupPace, WarmupTolerance};
 pub use concurrency::{CallOutcome, ConcurrencyLimit};
 pub use crash_log::{Crash, CrashLog};
+pub use departures::{Departures, ReportPosition};
 pub use grey_target::LossMeter;
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
--- /dev/null
+++ b/crates/traffic/tests/departures.rs
@@ -0,0 +1,99 @@
+//! Departed targets: no delayed report brings one back, and its next life is taken into use at once.
+
+use kingcuplift_traffic::{Departures, ReportPosition};
+use rstest::rstest;
+use smol_str::SmolStr;
+
+/// Start time of the instance that leaves, in milliseconds since the Unix epoch.
+const BORN: u64 = 10_000;
+/// Time of its deregistration on the same clock.
+const LEFT_AT: u64 = 60_000;
+/// Monotonic time of the deregistration, in milliseconds.
+const NOW: u64 = 1_000;
+/// Delay of the late report, in milliseconds.
+const DELAY: u64 = 8_000;
+/// Sequence number of its last report.
+const LAST_SEQUENCE: u64 = 40;
+
+const INSTANCE: SmolStr = SmolStr::new_static("i-1");
+
+fn position(start_time_ms: u64, sequence: u64) -> ReportPosition {
+    ReportPosition { start_time_ms, sequence }
+}
+
+/// A node took an instance into use again that had deregistered while the node didn't know it.
+#[rstest]
+#[case::dated(BORN, BORN)]
+#[case::undated_deregistration(BORN, 0)]
+#[case::undated(0, 0)]
+fn late_report_is_outdated(#[case] reported_ms: u64, #[case] stated_ms: u64) {
+    let mut departures = Departures::default();
+    match stated_ms {
+        0 => departures.record_undated_end(&INSTANCE, LEFT_AT, NOW),
+        _ => departures.record_end(stated_ms),
+    }
+    assert!(departures.has_ended(&INSTANCE, reported_ms, NOW));
+    for sequence in 2..=LAST_SEQUENCE {
+        let late = position(reported_ms, sequence);
+        assert!(departures.is_outdated(&INSTANCE, late, NOW + DELAY), "{late:?}");
+    }
+}
+
+/// A new start under the same name must not wait until the departure is forgotten.
+#[rstest]
+#[case::dated(BORN, LEFT_AT + 1)]
+#[case::dated_after_undated(0, LEFT_AT + 1)]
+#[case::undated(0, 0)]
+fn next_life_is_accepted(#[case] stated_ms: u64, #[case] next_born: u64) {
+    let mut departures = Departures::default();
+    match stated_ms {
+        0 => departures.record_undated_end(&INSTANCE, LEFT_AT, NOW),
+        _ => departures.record_end(stated_ms),
+    }
+    let first = position(next_born, 1);
+    assert!(!departures.is_outdated(&INSTANCE, first, NOW + 1));
+    departures.begin_life(&INSTANCE);
+    assert!(!departures.is_outdated(&INSTANCE, position(next_born, 2), NOW + 2));
+    assert!(!departures.has_ended(&INSTANCE, next_born, NOW + 2));
+}
+
+/// A departure that is known by name only must not end other instances.
+#[test]
+fn other_instance_stays() {
+    let mut departures = Departures::default();
+    departures.record_undated_end(&INSTANCE, LEFT_AT, NOW);
+    assert!(!departures.has_ended("i-2", BORN, NOW));
+    assert!(!departures.is_outdated("i-2", position(BORN, 7), NOW));
+    assert!(!departures.is_outdated("i-2", position(0, 7), NOW));
+}
+
+/// What a target said of its departure outlives its lease: the report from before is refused after it, too.
+#[test]
+fn leaving_outlives_lease() {
+    let mut departures = Departures::default();
+    departures.record_leaving(position(BORN, LAST_SEQUENCE));
+    assert!(departures.is_outdated(&INSTANCE, position(BORN, LAST_SEQUENCE - 1), NOW));
+    assert!(departures.is_outdated(&INSTANCE, position(BORN - 1, 99), NOW), "an earlier life");
+    assert!(!departures.is_outdated(&INSTANCE, position(BORN, LAST_SEQUENCE + 1), NOW));
+    assert!(!departures.is_outdated(&INSTANCE, position(BORN + 1, 1), NOW), "the next life");
+    assert!(!departures.has_ended(&INSTANCE, BORN, NOW));
+}
+
+/// Departures that arrive in any order, and more than once, leave the same memory.
+#[rstest]
+fn order_does_not_matter(
+    #[values([0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0])] order: [u8; 3],
+) {
+    let mut departures = Departures::default();
+    for event in order.into_iter().chain(order) {
+        match event {
+            0 => departures.record_end(BORN),
+            1 => departures.record_end(BORN - 5_000),
+            _ => departures.record_leaving(position(BORN + 1, 3)),
+        }
+    }
+    assert_eq!(departures.ended_ms(), BORN);
+    assert!(departures.is_outdated(&INSTANCE, position(BORN, 99), NOW));
+    assert!(departures.is_outdated(&INSTANCE, position(BORN + 1, 2), NOW));
+    assert!(!departures.is_outdated(&INSTANCE, position(BORN + 2, 1), NOW));
+}
