--- a/crates/cli/tests/departed_targets.rs
+++ b/crates/cli/tests/departed_targets.rs
@@ -16,6 +16,9 @@
 /// Lease of a target after a report.
 const LEASE: Duration = Duration::from_secs(6);
 
+/// Time in which a departure is confirmed, also while a member ends.
+const CONFIRMATION_LIMIT: Duration = Duration::from_secs(4);
+
 /// How a target says that it leaves.
 #[derive(Debug, Clone, Copy)]
 enum Departure {
@@ -146,6 +149,60 @@
     expect_no_calls(&site, &targets[0]);
 }
 
+/// Kills all processes and starts them again; the node beside the target that has left gets a report from before.
+fn expect_gone_after_power_loss(site: &mut PlaintextSite, targets: &[ScriptedTarget; 2]) {
+    site.kill_all();
+    for name in site.names() {
+        site.start_process(&name);
+    }
+    for node in ["node-1", "node-2"] {
+        site.wait("the restarted node", |site| is_node_ready(site, node).then_some(()));
+    }
+    assert_eq!(report_desk(site, "node-2", &targets[1], &json!({ "sequence": 20 })).status, 200);
+    assert_eq!(report_desk(site, "node-1", &targets[0], &json!({ "sequence": 8 })).status, 200);
+    expect_no_calls(site, &targets[0]);
+    expect_next_life(site, &targets[0]);
+}
+
+/// A departure was kept in the memory of processes only: after a loss of all power, a report from before undid it.
+#[rstest]
+fn late_report_after_power_loss(
+    #[values(Departure::Deregistered, Departure::Reported)] departure: Departure,
+) {
+    let targets: [_; 2] =
+        std::array::from_fn(|_| ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO)));
+    let mut site = start_desk_nodes(&targets, &json!({}));
+    depart(&site, &targets[0], departure);
+    expect_gone_after_power_loss(&mut site, &targets);
+}
+
+/// A departure must not be confirmed before it is stored: a member ends meanwhile, and then all processes.
+#[rstest]
+fn confirmed_departure_survives(
+    #[values(1, 2, 3)] member: usize,
+    #[values(0, 15, 40)] delay_ms: u64,
+) {
+    let targets: [_; 2] =
+        std::array::from_fn(|_| ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO)));
+    let mut site = start_desk_nodes(&targets, &json!({}));
+    let admin = site.addresses("node-1").admin.clone();
+    std::thread::scope(|scope| {
+        let departing = scope.spawn(move || {
+            let body = json!({ "born": BORN }).to_string();
+            let began_at = Instant::now();
+            let deregister = || request(&admin, "DELETE", "/v1/instances/i-1", "", &body).status;
+            while deregister() != 200 {
+                assert!(began_at.elapsed() < CONFIRMATION_LIMIT, "no confirmation");
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        });
+        std::thread::sleep(Duration::from_millis(delay_ms));
+        site.kill(&format!("core-{member}"));
+        departing.join().expect("a confirmation");
+    });
+    expect_gone_after_power_loss(&mut site, &targets);
+}
+
 /// Reports without a start time are ordered by their sequence within one life only.
 #[test]
 fn target_without_start_time_returns() {
--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::departures::DepartureTable;
 use crate::document::{Document, PriorContent, StoredResource, prior_size};
 use crate::patch::{Patch, StagedChanges};
 use crate::resource::{Resource, ResourceKey};
@@ -105,7 +106,7 @@
     Invalid(String),
 }
 
-/// The current configuration, the retained versions and the retained outcomes.
+/// The current configuration, the retained versions and outcomes, and the targets that have left.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     current: VersionedDocument,
@@ -116,6 +117,7 @@
     /// Operation ids in order of application.
     order: VecDeque<String>,
     revision: Revision,
+    departures: DepartureTable,
     prepared: Option<PreparedChanges>,
 }
 
@@ -135,6 +137,19 @@
         self.revision
     }
 
+    /// Returns the targets that have left.
+    pub fn departures(&self) -> &DepartureTable {
+        &self.departures
+    }
+
+    /// Stores the departures of a submission, and forgets those that are too old.
+    pub fn record_departures(&mut self, submission: &Submission) {
+        for departure in &submission.departures {
+            self.departures.merge(departure, submission.at_ms);
+        }
+        self.departures.forget_old(submission.at_ms);
+    }
+
     /// Returns the document at the head version, with its most recent changes.
     pub fn current(&self) -> &VersionedDocument {
         &self.current
@@ -245,6 +260,10 @@
             let recorded = self.outcomes.get(operation)?;
             Some(encode_outcome(operation, recorded))
         });
+        let departures = self.departures.iter().map(|(departure, at_ms)| wire::StoredDeparture {
+            departure: Some(departure.clone()),
+            at_ms,
+        });
         wire::CatalogState {
             head: self.head().get(),
             resources: resources.collect(),
@@ -252,6 +271,7 @@
             outcomes: outcomes.collect(),
             revision: self.revision.number,
             revised: self.revision.version.get(),
+            departures: departures.collect(),
         }
         .encode_to_vec()
     }
@@ -277,6 +297,11 @@
         for outcome in state.outcomes {
             catalog.restore_outcome(outcome)?;
         }
+        for stored in &state.departures {
+            if let Some(departure) = &stored.departure {
+                catalog.departures.merge(departure, stored.at_ms);
+            }
+        }
         Ok(catalog)
     }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod canonical;
 mod catalog;
+mod departures;
 mod differences;
 mod document;
 mod dry_run;
@@ -21,6 +22,7 @@
 pub use catalog::{
     Catalog, CatalogError, Outcome, RETAINED_OUTCOMES, RETAINED_VERSIONS, Submission, VersionInfo,
 };
+pub use departures::{DEPARTURE_TTL_MS, DepartureTable, merge_departure};
 pub use differences::{Change, Difference, FieldChange, differences};
 pub use document::{Document, StoredResource};
 pub use dry_run::DryRun;
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -156,6 +156,8 @@
     TargetUnknown = 3021, 503, NotRun;
     /// Targets ended while they ran this request, so it is not sent to others.
     RequestQuarantined = 3022, 503, NotRun;
+    /// The source has not stored yet that the target leaves; the target must report it again.
+    DepartureUnconfirmed = 3023, 503, NotRun;
     /// No leader of the source is known at present.
     NoLeader = 4001, 503, NotRun;
     /// The member lost leadership before the submission was committed.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -119,6 +119,8 @@
     ElectionStarted = 118, Info;
     /// One piece of work kept the event loop from everything else.
     LoopBlocked = 119, Warn;
+    /// Departures of targets were stored in the log.
+    DeparturesStored = 120, Info;
     /// A connection to a peer was established.
     LinkOpened = 201, Info;
     /// A connection to a peer ended.
@@ -159,6 +161,8 @@
     TargetLeaving = 409, Info;
     /// A target states fewer free slots than its node counts; it gets fewer calls until it states otherwise.
     TargetSlotsReduced = 410, Info;
+    /// A target that leaves got no confirmation: the source has not stored its departure in time.
+    DepartureUnstored = 411, Warn;
     /// A call was refused and not executed; lines beyond a rate limit are only counted.
     CallRefused = 501, Warn;
     /// A call may have been executed but got no response from its target; lines beyond a rate limit are only counted.
--- a/crates/daemon/src/fanout.rs
+++ b/crates/daemon/src/fanout.rs
@@ -1,12 +1,15 @@
 //! Fan-out of configuration and targets from a source member or relay to its downstream processes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
-use kingcuplift_config::{Subscription, UpdateSummary, VersionedDocument, encode_update};
+use kingcuplift_config::{
+    DepartureTable, Subscription, UpdateSummary, VersionedDocument, encode_update,
+};
 use kingcuplift_core::{Digest, Event, NodeName, Version, ZoneName};
 use kingcuplift_schema::control::{
-    Beat, Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame, downward,
+    Beat, DepartureList, Directory, Downward, FreshnessReply, Hello, TargetUpdate, UpdateFrame,
+    downward,
 };
 use kingcuplift_traffic::TargetTable;
 use tokio::sync::Notify;
@@ -28,6 +31,8 @@
     sent_update: Option<UpdateSummary>,
     /// Position of the target table up to which targets were sent.
     sent_position: Option<u64>,
+    /// Position of the departures up to which they were sent.
+    sent_departures: u64,
     /// Revision of the directory sent last.
     sent_directory: u64,
     /// Freshness to report in a queued heartbeat.
@@ -36,6 +41,25 @@
     wake: Arc<Notify>,
 }
 
+/// What is sent to downstream processes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Content<'a> {
+    /// Configuration; without it, updates of the configuration stay pending.
+    pub(crate) config: Option<&'a VersionedDocument>,
+    pub(crate) targets: &'a TargetTable,
+    pub(crate) departures: &'a DepartureTable,
+    pub(crate) departure_scope: DepartureScope,
+}
+
+/// Which departures a downstream process gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DepartureScope {
+    /// Those of all nodes.
+    AllNodes,
+    /// Those of the process itself.
+    Receiver,
+}
+
 /// Cache of encoded updates to one head version, by base version and subscription.
 #[derive(Debug, Default)]
 struct FrameCache {
@@ -85,6 +109,7 @@
             sent_version,
             sent_update: None,
             sent_position: None,
+            sent_departures: 0,
             sent_directory: 0,
             queued_heartbeat: Some(fresh),
             queued_replies: Vec::new(),
@@ -141,6 +166,13 @@
         }
     }
 
+    /// Wakes the sending tasks of the processes with one of these names.
+    pub(crate) fn wake_named(&self, names: &HashSet<String>) {
+        for downstream in self.sessions.values().filter(|d| names.contains(d.name.as_str())) {
+            downstream.wake.notify_one();
+        }
+    }
+
     /// Wakes the sending tasks of all processes.
     pub(crate) fn wake_all(&self) {
         for downstream in self.sessions.values() {
@@ -166,14 +198,12 @@
     }
 
     /// Returns everything that is pending for one process, or `None` if its session has ended.
-    ///
-    /// Without `config`, updates of the configuration stay pending.
     pub(crate) fn pull(
         &mut self,
         session: SessionId,
-        config: Option<&VersionedDocument>,
-        table: &TargetTable,
+        content: Content<'_>,
     ) -> Option<Vec<Downward>> {
+        let Content { config, targets, .. } = content;
         let downstream = self.sessions.get_mut(&session)?;
         let mut bodies = Vec::new();
         // Until there is a configuration, the process keeps the one that it has.
@@ -190,7 +220,8 @@
             downstream.sent_directory = self.directory.0;
             bodies.push(downward::Body::Directory(self.directory.1.clone()));
         }
-        bodies.extend(downstream.take_target_update(table).map(downward::Body::Targets));
+        bodies.extend(downstream.take_departures(content).map(downward::Body::Departures));
+        bodies.extend(downstream.take_target_update(targets).map(downward::Body::Targets));
         bodies.extend(downstream.queued_replies.drain(..).map(downward::Body::Freshness));
         bodies.extend(
             downstream.queued_heartbeat.take().map(|fresh| downward::Body::Beat(Beat { fresh })),
@@ -213,6 +244,19 @@
         Event::SnapshotRequested.emit(&fields);
     }
 
+    /// Returns the departures that were stored since the last call.
+    fn take_departures(&mut self, content: Content<'_>) -> Option<DepartureList> {
+        let Content { departures: table, departure_scope, .. } = content;
+        let since = std::mem::replace(&mut self.sent_departures, table.position());
+        let departures: Vec<_> = match departure_scope {
+            DepartureScope::AllNodes => table.changed_since(since).cloned().collect(),
+            DepartureScope::Receiver => {
+                table.of_node(self.name.as_str(), since).into_iter().cloned().collect()
+            }
+        };
+        (!departures.is_empty()).then_some(DepartureList { departures })
+    }
+
     /// Returns the targets that have changed since the last call, or all of them on the first.
     fn take_target_update(&mut self, table: &TargetTable) -> Option<TargetUpdate> {
         let full = self.sent_position.is_none();
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::Addr;
+use actix::{Addr, MailboxError};
 use actix_web::dev::Server;
 use actix_web::{HttpResponse, web};
 use kingcuplift_core::{Event, NodeName, ResultCode, ServiceName, TargetVersion};
@@ -123,7 +123,7 @@
         }
     };
     match actor.send(message).await {
-        Ok(()) => HttpResponse::Ok().json(json!({ "lease_ms": LEASE_MS })),
+        Ok(_) => HttpResponse::Ok().json(json!({ "lease_ms": LEASE_MS })),
         Err(_) => Problem::new(ResultCode::Draining, "the node is stopping").into_response(),
     }
 }
@@ -155,10 +155,7 @@
             return Problem::new(ResultCode::AnnouncementMalformed, detail).into_response();
         }
     };
-    match actor.send(message).await {
-        Ok(()) => HttpResponse::Ok().json(json!({})),
-        Err(_) => Problem::new(ResultCode::Draining, "the node is stopping").into_response(),
-    }
+    confirm(&instance, actor.send(message).await)
 }
 
 fn parse_instance_report(instance: &str, body: &[u8]) -> Result<Announce, String> {
@@ -209,8 +206,18 @@
     };
     let message =
         Deregister { instance: SmolStr::new(instance.as_str()), start_time_ms: body.born };
-    match actor.send(message).await {
-        Ok(()) => HttpResponse::Ok().json(json!({})),
+    confirm(&instance, actor.send(message).await)
+}
+
+/// Confirms what a target says of itself, if that is also stored where it must be.
+fn confirm(instance: &str, is_stored: Result<bool, MailboxError>) -> HttpResponse {
+    match is_stored {
+        Ok(true) => HttpResponse::Ok().json(json!({})),
+        Ok(false) => {
+            Event::DepartureUnstored.emit(&[("instance", &instance)]);
+            let detail = "the source has not stored the departure; repeat the request";
+            Problem::new(ResultCode::DepartureUnconfirmed, detail).into_response()
+        }
         Err(_) => Problem::new(ResultCode::Draining, "the node is stopping").into_response(),
     }
 }
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -1,5 +1,6 @@
 //! Control plane of the node: receives configuration and targets from a relay and publishes the view for calls.
 
+mod departures;
 mod local_targets;
 mod messages;
 
@@ -27,6 +28,7 @@
     Announce, ApplySettings, Deregister, Drain, GetHealth, InstanceReport, Withdraw,
 };
 
+use self::departures::PendingConfirmations;
 use self::local_targets::KnownInstance;
 pub(crate) use self::local_targets::QUEUE_GRACE;
 use crate::clock::{US_PER_MS, monotonic_ms, wall_us};
@@ -36,7 +38,7 @@
 use crate::refused_update::apply_update;
 use crate::upstream::{LinkMeter, Upstream, UpstreamAddresses, UpstreamEvent};
 
-/// Interval of the checks for expired leases, and for changed losses of local targets.
+/// Interval of the checks for expired leases, departures to repeat, and changed losses of local targets.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of the reports of call statistics by target version.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
@@ -73,6 +75,7 @@
     incarnations: HashMap<TargetKey, u64>,
     instances: HashMap<TargetKey, KnownInstance>,
     departures: Departures,
+    pending_confirmations: PendingConfirmations,
     relay_addresses: UpstreamAddresses,
     /// Whether the node's availability zone is out of service.
     is_zone_out: bool,
@@ -117,6 +120,7 @@
             incarnations: HashMap::new(),
             instances: HashMap::new(),
             departures: Departures::default(),
+            pending_confirmations: PendingConfirmations::default(),
             relay_addresses,
             is_zone_out: false,
             is_closing: false,
@@ -164,7 +168,7 @@
         for key in keys {
             self.republish_target(&key);
         }
-        self.announce_departed();
+        self.send_departure();
         self.report_applied();
     }
 
@@ -175,6 +179,7 @@
             downward::Body::Targets(update) => self.merge_targets(update),
             downward::Body::Freshness(reply) => self.handle_freshness_reply(reply),
             downward::Body::Directory(directory) => self.update_relay_addresses(&directory),
+            downward::Body::Departures(list) => self.learn_departures(&list.departures),
             downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
@@ -204,9 +209,6 @@
         let mut inaccurate = Vec::new();
         for target in update.targets {
             let is_own = target.node == self.shared.name.as_str();
-            if is_own {
-                self.learn_departures(&target);
-            }
             if is_own && self.is_adopting() {
                 self.restore_limit(&target);
             }
@@ -320,6 +322,7 @@
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(LEASE_CHECK_INTERVAL, |actor, _| {
             actor.expire_leases();
+            actor.send_departure();
             actor.announce_losses();
         });
         ctx.run_interval(EVIDENCE_INTERVAL, |actor, _| {
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -8,9 +8,7 @@
 use kingcuplift_config::{Document, Kind, Resource, ResourceKey, ServiceSpec};
 use kingcuplift_core::{Event, PerSecond, ServiceName};
 use kingcuplift_schema::control::{Crash, Target, TargetState, TargetUpdate, upward};
-use kingcuplift_traffic::{
-    AdmissionLimits, Lease, ReportPosition, TargetKey, WarmupPace, is_zone_out,
-};
+use kingcuplift_traffic::{AdmissionLimits, Lease, TargetKey, WarmupPace, is_zone_out};
 use smol_str::SmolStr;
 
 use crate::clock::{monotonic_ms, wall_ms, wall_us};
@@ -68,28 +66,8 @@
         true
     }
 
-    /// Learns from the relay's record of a local target which instances have left; a restarted node has forgotten that.
-    ///
-    /// An instance that has left and was accepted again in the meantime, by a delayed report, is withdrawn.
-    pub(super) fn learn_departures(&mut self, target: &Target) {
-        self.departures.record_end(target.ended_born);
-        if target.leaving_sequence > 0 {
-            self.departures.record_leaving(ReportPosition {
-                start_time_ms: target.born,
-                sequence: target.leaving_sequence,
-            });
-        }
-        self.withdraw_departed();
-        for key in self.mark_leaving() {
-            if let Some(local) = self.shared.local_targets.load_full().get(&key) {
-                self.update_admission(&key, local);
-            }
-            self.republish_target(&key);
-        }
-    }
-
     /// Takes the local targets out of service that have ended, also those that were announced before this node's start.
-    fn withdraw_departed(&mut self) {
+    pub(super) fn withdraw_departed(&mut self) {
         let instances = self.instances.iter();
         let reported =
             instances.filter(|(_, known)| self.has_ended(&known.report)).map(|(key, _)| key);
@@ -111,33 +89,6 @@
         self.withdraw(&ended, TargetState::Gone);
     }
 
-    /// Marks the instances as leaving that had said so before, and returns their keys.
-    fn mark_leaving(&mut self) -> Vec<TargetKey> {
-        let mut marked = Vec::new();
-        for (key, known) in &mut self.instances {
-            let sequence = self.departures.leaving_sequence(known.report.position());
-            if let Some(sequence) = sequence.filter(|_| !known.report.is_leaving) {
-                known.report.is_leaving = true;
-                known.report.sequence = sequence;
-                marked.push(key.clone());
-            }
-        }
-        marked
-    }
-
-    /// Sends the relay the records of the local targets that have left: the source may have forgotten them.
-    pub(super) fn announce_departed(&self) {
-        let own = |target: &&Target| target.node == self.shared.name.as_str();
-        let departed = self.table.changed_since(0).filter(own);
-        let departed =
-            departed.filter(|target| target.state() == TargetState::Gone && target.ended_born > 0);
-        let targets: Vec<Target> = departed.cloned().collect();
-        if !targets.is_empty() {
-            let update = TargetUpdate { targets, full: false, position: 0 };
-            self.send_to_relay(upward::Body::Targets(update));
-        }
-    }
-
     /// Returns whether a report is from an instance that has ended for good.
     pub(super) fn has_ended(&self, report: &InstanceReport) -> bool {
         self.departures.has_ended(&report.instance, report.start_time_ms, monotonic_ms())
@@ -190,7 +141,7 @@
     }
 
     /// Opens or closes the admission of a target by its state.
-    fn update_admission(&self, key: &TargetKey, local: &LocalTarget) {
+    pub(super) fn update_admission(&self, key: &TargetKey, local: &LocalTarget) {
         match self.state_of(key) {
             TargetState::Ready if !self.is_zone_out && !self.is_closing => local.admission.open(),
             _ => local.admission.close(QUEUE_GRACE),
@@ -221,12 +172,6 @@
         local_targets.get(key).map_or(0, |local| local.losses().announced())
     }
 
-    /// Returns the sequence number of the report in which a local target said that it leaves, or 0.
-    fn leaving_sequence(&self, key: &TargetKey) -> u64 {
-        let known = self.instances.get(key).filter(|known| known.report.is_leaving);
-        known.map_or(0, |known| known.report.sequence)
-    }
-
     /// Returns the limit that a local target states.
     fn stated_limit(&self, key: &TargetKey) -> Option<PerSecond> {
         let local_targets = self.shared.local_targets.load();
@@ -429,6 +374,7 @@
             true => self.departures.record_leaving(report.position()),
             false => self.departures.begin_life(&report.instance),
         }
+        self.send_departure();
         self.instances.insert(
             key.clone(),
             KnownInstance {
@@ -480,8 +426,9 @@
 
     /// Takes an instance out of service permanently; a delayed report does not bring it back.
     ///
-    /// The node may not know the instance: its lease has ended, or the node has just started.
-    pub(super) fn deregister(&mut self, deregister: &Deregister) {
+    /// The node may not know the instance: its lease has ended, or the node has just started. Returns the start time of the
+    /// instance, or 0 if it isn't known.
+    pub(super) fn deregister(&mut self, deregister: &Deregister) -> u64 {
         let Deregister { instance, start_time_ms } = deregister;
         let known = self.instances.values().find(|known| known.report.instance == *instance);
         let known_start_ms = known.map(|known| known.report.start_time_ms);
@@ -494,6 +441,8 @@
             self.departures.record_undated_end(instance, wall_ms(), monotonic_ms());
         }
         self.withdraw_departed();
+        self.send_departure();
+        start_time_ms
     }
 
     /// Ends leases and returns the admission control of the targets, whose calls may still be in flight.
@@ -558,8 +507,6 @@
             lost_permille: self.announced_losses(key),
             crashes: self.recent_crashes(key),
             rate_limit: self.stated_limit(key).map(PerSecond::get),
-            ended_born: self.departures.ended_ms(),
-            leaving_sequence: self.leaving_sequence(key),
         };
         target.set_state(state);
         self.merge_target(target.clone(), monotonic_ms());
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Handler, Message};
+use actix::{Handler, Message, ResponseFuture};
 use kingcuplift_core::{Event, ServiceName};
 use kingcuplift_schema::control::{Target, TargetState};
 use kingcuplift_traffic::{ReportPosition, TargetKey};
@@ -15,9 +15,9 @@
 use crate::node::probe::Health;
 use crate::node::target_change::{TargetChange, TargetChanged};
 
-/// Announces a target or renews its lease.
+/// Announces a target or renews its lease; returns false if the target leaves and this could not be stored in time.
 #[derive(Debug, Message)]
-#[rtype(result = "()")]
+#[rtype(result = "bool")]
 pub(crate) struct Announce {
     pub(crate) service: ServiceName,
     pub(crate) version: SmolStr,
@@ -48,9 +48,9 @@
     }
 }
 
-/// Deregisters a target that leaves; its calls in flight finish.
+/// Deregisters a target that leaves; its calls in flight finish. Returns false if this could not be stored in time.
 #[derive(Debug, Message)]
-#[rtype(result = "()")]
+#[rtype(result = "bool")]
 pub(crate) struct Deregister {
     pub(crate) instance: SmolStr,
     /// Start time, in milliseconds since the Unix epoch; 0 if unknown.
@@ -93,12 +93,18 @@
 }
 
 impl Handler<Announce> for NodeActor {
-    type Result = ();
+    type Result = ResponseFuture<bool>;
 
-    fn handle(&mut self, message: Announce, _: &mut Self::Context) {
+    fn handle(&mut self, message: Announce, _: &mut Self::Context) -> Self::Result {
+        let leaving = message.report.as_ref().filter(|report| report.is_leaving);
+        let leaving_start_ms = leaving.map(|report| report.start_time_ms);
         if !self.is_closing {
             self.announce(message);
         }
+        match leaving_start_ms {
+            Some(start_time_ms) => self.wait_stored(start_time_ms),
+            None => Box::pin(async { true }),
+        }
     }
 }
 
@@ -158,10 +164,11 @@
 }
 
 impl Handler<Deregister> for NodeActor {
-    type Result = ();
+    type Result = ResponseFuture<bool>;
 
-    fn handle(&mut self, message: Deregister, _: &mut Self::Context) {
-        self.deregister(&message);
+    fn handle(&mut self, message: Deregister, _: &mut Self::Context) -> Self::Result {
+        let start_time_ms = self.deregister(&message);
+        self.wait_stored(start_time_ms)
     }
 }
 
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -1,17 +1,17 @@
 //! Actor that connects the source with the nodes of a relay.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message};
-use kingcuplift_config::{ApplyOutcome, Subscription, VersionedDocument};
+use kingcuplift_config::{ApplyOutcome, DepartureTable, Subscription, VersionedDocument};
 use kingcuplift_core::{Event, NodeName, Version, ZoneName};
 use kingcuplift_keys::{Protocol, Role};
 use kingcuplift_schema::control::{
-    Downward, Evidence, FreshnessReply, FreshnessRequest, Hello, Redirect, Target, TargetUpdate,
-    UpdateFrame, Upward, downward, upward,
+    Departure, Downward, Evidence, FreshnessReply, FreshnessRequest, Hello, Redirect, Target,
+    TargetUpdate, UpdateFrame, Upward, downward, upward,
 };
 use kingcuplift_traffic::{
     HandshakeLimit, MergeResult, ProgressReporter, RemoteMerge, TargetKey, TargetRegistry,
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic_ms;
-use crate::fanout::{Fanout, SessionId};
+use crate::fanout::{Content, DepartureScope, Fanout, SessionId};
 use crate::link::{Endpoint, complete_handshake};
 use crate::metrics;
 use crate::refused_update::apply_update;
@@ -68,6 +68,8 @@
     config: VersionedDocument,
     fanout: Fanout,
     targets: TargetRegistry,
+    /// Departures that the source has stored.
+    departures: DepartureTable,
     /// Freshness requests of nodes, to be covered by the next request to the source.
     queued_freshness: Vec<(SessionId, u64)>,
     /// Freshness requests of nodes that are covered by the request in flight.
@@ -102,6 +104,7 @@
             config: VersionedDocument::default(),
             fanout: Fanout::default(),
             targets: TargetRegistry::new(NODE_GRACE_PERIOD_MS),
+            departures: DepartureTable::default(),
             queued_freshness: Vec::new(),
             in_flight_freshness: Vec::new(),
             last_request: 0,
@@ -156,10 +159,28 @@
                 self.source_addresses.set_discovered(sources.collect());
                 self.fanout.set_directory(directory);
             }
+            downward::Body::Departures(list) => self.merge_departures(&list.departures),
             downward::Body::Beat(_) | downward::Body::Redirect(_) => {}
         }
     }
 
+    /// Merges departures that the source has stored; their nodes wait for that.
+    fn merge_departures(&mut self, departures: &[Departure]) {
+        let now = monotonic_ms();
+        let new = departures.iter().filter(|departure| self.departures.merge(departure, now));
+        let nodes: HashSet<String> = new.map(|departure| departure.node.clone()).collect();
+        self.departures.forget_old(now);
+        self.fanout.wake_named(&nodes);
+    }
+
+    /// Passes a node's departure on to the source, unless it is stored; the node repeats it until then.
+    fn forward_departure(&mut self, session: SessionId, departure: Departure) {
+        let sender = self.fanout.get_mut(session).map(|node| node.name.as_str());
+        if sender == Some(departure.node.as_str()) && !self.departures.covers(&departure) {
+            self.send_to_source(upward::Body::Departure(departure));
+        }
+    }
+
     fn apply_update(&mut self, frame: &UpdateFrame) {
         match apply_update(&mut self.config, frame, &Subscription::All) {
             Ok(ApplyOutcome::Applied) => {
@@ -372,7 +393,13 @@
     type Result = Option<Vec<Downward>>;
 
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
-        measure(Work::Encode, || self.fanout.pull(pull.0, Some(&self.config), self.targets.table()))
+        let content = Content {
+            config: Some(&self.config),
+            targets: self.targets.table(),
+            departures: &self.departures,
+            departure_scope: DepartureScope::Receiver,
+        };
+        measure(Work::Encode, || self.fanout.pull(pull.0, content))
     }
 }
 
@@ -397,6 +424,7 @@
                 self.pending_evidence.push_back((monotonic_ms(), evidence));
                 self.send_evidence();
             }
+            upward::Body::Departure(departure) => self.forward_departure(session, departure),
             upward::Body::Hello(_) | upward::Body::Progress(_) => {}
         }
     }
--- a/crates/daemon/src/source.rs
+++ b/crates/daemon/src/source.rs
@@ -1,6 +1,7 @@
 //! The source role: a member of the group that replicates the log of configuration versions.
 
 mod actor;
+mod departures;
 mod forming;
 mod http;
 mod links;
--- a/crates/daemon/src/source/actor.rs
+++ b/crates/daemon/src/source/actor.rs
@@ -240,6 +240,16 @@
             Ok(submission) => submission,
             Err(error) => return Event::StorageFailed.emit(&[("reason", &error)]),
         };
+        if let Some(token) = token {
+            self.relays.departures.end_write(token);
+        }
+        if !submission.departures.is_empty() {
+            if token.is_some() {
+                let (count, bytes) = (submission.departures.len(), command.len());
+                Event::DeparturesStored.emit(&[("departures", &count), ("bytes", &bytes)]);
+            }
+            return self.catalog.record_departures(&submission);
+        }
         let outcome = measure(Work::Apply, || self.catalog.apply(&submission));
         // Only the leader has tokens. Entries of earlier terms have none; their outcomes were logged before.
         if token.is_some() {
@@ -298,6 +308,7 @@
 
     fn refuse(&mut self, token: Token, refusal: Refusal) {
         self.moves.end_step(token);
+        self.relays.departures.end_write(token);
         let response = || match refusal {
             Refusal::NotLeader => Response::Unready("this member is not the leader; try another"),
             Refusal::Busy => Response::problem(
@@ -485,6 +496,7 @@
                 self.step(Input::Tick);
                 self.tick_membership(now);
                 self.reply_freshness();
+                self.store_departures();
                 self.take_snapshot();
             }
             Stage::Failed(_) => {}
--- a/crates/daemon/src/source/relays.rs
+++ b/crates/daemon/src/source/relays.rs
@@ -9,9 +9,10 @@
 use kingcuplift_traffic::{ProgressTracker, TargetKey, TargetRegistry};
 
 use crate::clock::monotonic_ms;
-use crate::fanout::{Fanout, SessionId};
+use crate::fanout::{Content, DepartureScope, Fanout, SessionId};
 use crate::session::{DownstreamMessage, Join, Joined, Leave, Pull};
 use crate::source::actor::{SourceActor, Stage};
+use crate::source::departures::DepartureQueue;
 use crate::turns::{Work, measure};
 
 /// Time after which a relay retries while no leader is known, in milliseconds.
@@ -37,6 +38,8 @@
     /// Names of the relays that have connected since this member became leader.
     seen_names: BTreeSet<NodeName>,
     pending_freshness: Vec<PendingFreshness>,
+    /// Departures to store.
+    pub(crate) departures: DepartureQueue,
 }
 
 impl Default for Relays {
@@ -47,6 +50,7 @@
             targets: TargetRegistry::new(RELAY_GRACE_PERIOD_MS),
             seen_names: BTreeSet::new(),
             pending_freshness: Vec::new(),
+            departures: DepartureQueue::default(),
         }
     }
 }
@@ -130,8 +134,13 @@
     fn handle(&mut self, pull: Pull, _: &mut Self::Context) -> Self::Result {
         // The versions that the catalog passes while the log is applied are outdated already.
         let config = self.has_applied_all().then(|| self.catalog.current());
-        let targets = self.relays.targets.table();
-        measure(Work::Encode, || self.relays.fanout.pull(pull.0, config, targets))
+        let content = Content {
+            config,
+            targets: self.relays.targets.table(),
+            departures: self.catalog.departures(),
+            departure_scope: DepartureScope::AllNodes,
+        };
+        measure(Work::Encode, || self.relays.fanout.pull(pull.0, content))
     }
 }
 
@@ -154,6 +163,7 @@
             }
             upward::Body::Resync(_) => self.relays.fanout.resync(session, self.catalog.current()),
             upward::Body::Evidence(evidence) => self.handle_evidence(&evidence),
+            upward::Body::Departure(departure) => self.handle_departure(departure),
             upward::Body::Hello(_) | upward::Body::Applied(_) => {}
         }
     }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -41,7 +41,7 @@
 pub use cold_rush::{WarmupPace, WarmupTolerance};
 pub use concurrency::{CallOutcome, ConcurrencyLimit};
 pub use crash_log::{Crash, CrashLog};
-pub use departures::{Departures, ReportPosition};
+pub use departures::{DatedDepartures, Departures, ReportPosition};
 pub use grey_target::LossMeter;
 pub use handshakes::HandshakeLimit;
 pub use lease::{Lease, Leases};
--- a/crates/traffic/src/table.rs
+++ b/crates/traffic/src/table.rs
@@ -68,8 +68,7 @@
 impl TargetTable {
     /// Merges one announcement; the higher incarnation wins, then the higher state.
     ///
-    /// What earlier announcements say of crashes and ended instances is kept: the node beside the target forgets it when
-    /// it restarts. It may then announce an ended instance again, which counts as gone.
+    /// What earlier announcements say of crashes is kept: the node beside the target forgets it when it restarts.
     pub fn merge(&mut self, mut target: Target, now_ms: u64) -> MergeResult {
         let key = TargetKey::of(&target);
         if let Some(entry) = self.entries.get(&key) {
@@ -77,12 +76,8 @@
                 return MergeResult::Unchanged;
             }
             keep_crashes(&entry.target.crashes, &mut target.crashes);
-            target.ended_born = target.ended_born.max(entry.target.ended_born);
             self.order.remove(&entry.position);
         }
-        if target.born != 0 && target.born <= target.ended_born {
-            target.set_state(TargetState::Gone);
-        }
         self.position += 1;
         self.order.insert(self.position, key.clone());
         self.services.entry(key.service.clone()).or_default().insert(key.clone());
--- a/crates/traffic/tests/departures.rs
+++ b/crates/traffic/tests/departures.rs
@@ -1,6 +1,6 @@
 //! Departed targets: no delayed report brings one back, and its next life is taken into use at once.
 
-use kingcuplift_traffic::{Departures, ReportPosition};
+use kingcuplift_traffic::{DatedDepartures, Departures, ReportPosition};
 use rstest::rstest;
 use smol_str::SmolStr;
 
@@ -92,8 +92,49 @@
             _ => departures.record_leaving(position(BORN + 1, 3)),
         }
     }
-    assert_eq!(departures.ended_ms(), BORN);
+    let known = DatedDepartures { ended_ms: BORN, leaving: position(BORN + 1, 3) };
+    assert_eq!(departures.unstored(), Some(known));
     assert!(departures.is_outdated(&INSTANCE, position(BORN, 99), NOW));
     assert!(departures.is_outdated(&INSTANCE, position(BORN + 1, 2), NOW));
     assert!(!departures.is_outdated(&INSTANCE, position(BORN + 2, 1), NOW));
 }
+
+/// A departure was confirmed while it was in the memory of processes only, all of which may be killed.
+#[rstest]
+#[case::ended(DatedDepartures { ended_ms: BORN, ..DatedDepartures::default() })]
+#[case::leaving(DatedDepartures { leaving: position(BORN, 3), ..DatedDepartures::default() })]
+fn departure_waits_for_storage(#[case] departure: DatedDepartures) {
+    let mut departures = Departures::default();
+    departures.record_end(departure.ended_ms);
+    departures.record_leaving(departure.leaving);
+    assert_eq!(departures.unstored(), Some(departure));
+    assert!(departures.is_unstored(BORN));
+    assert!(!departures.is_unstored(BORN + 1), "an instance that has not left");
+    let earlier = DatedDepartures { ended_ms: BORN - 1, ..DatedDepartures::default() };
+    departures.record_stored(earlier);
+    assert!(departures.is_unstored(BORN), "only an earlier departure is stored");
+    departures.record_stored(departure);
+    assert!(!departures.is_unstored(BORN));
+    assert_eq!(departures.unstored(), None);
+}
+
+/// A target that leaves in two steps is written once.
+#[test]
+fn end_after_leaving_is_stored() {
+    let mut departures = Departures::default();
+    let leaving = DatedDepartures { leaving: position(BORN, 3), ..DatedDepartures::default() };
+    departures.record_leaving(leaving.leaving);
+    departures.record_stored(leaving);
+    departures.record_end(BORN);
+    assert!(!departures.is_unstored(BORN));
+}
+
+/// A node that was restarted learns from the source what had left before.
+#[test]
+fn restarted_node_learns_departures() {
+    let mut departures = Departures::default();
+    departures.record_stored(DatedDepartures { ended_ms: BORN, leaving: position(BORN + 1, 3) });
+    assert!(departures.is_outdated(&INSTANCE, position(BORN, 99), NOW));
+    assert!(departures.is_outdated(&INSTANCE, position(BORN + 1, 2), NOW));
+    assert_eq!(departures.unstored(), None);
+}
