--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,6 +83,8 @@
     SettingsReloaded = 6, Info;
     /// Changed settings are invalid; the previous ones stay in effect.
     SettingsRefused = 7, Error;
+    /// The process ends although callers or nodes have not read all responses.
+    ResponsesCutOff = 8, Warn;
     /// A source member won an election.
     LeaderElected = 101, Info;
     /// A source member gave up leadership.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 mod server;
 mod shared;
 mod target_change;
+mod unwritten;
 
 pub use control::NodeActor;
 pub use headers::HeaderNames;
--- a/crates/daemon/src/node/callers.rs
+++ b/crates/daemon/src/node/callers.rs
@@ -33,6 +33,7 @@
 use crate::node::respond::{max_retry_after, respond_within};
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::{DRAINING, NodeShared};
+use crate::node::unwritten::CallDeadline;
 
 /// Upper bound of a call's expected latency, as a fraction of the time left until its objective.
 const MAX_LATENCY_FRACTION: f64 = 2.0;
@@ -53,14 +54,22 @@
     serve_calls(address, threads, shared, handle)
 }
 
+/// What is known of a call that is being served.
+#[derive(Debug, Default)]
+struct CallProgress {
+    /// Whether the call may have been sent to a target or its node.
+    is_sent: Cell<bool>,
+    deadline: Cell<Option<Instant>>,
+}
+
 async fn handle(worker: Worker, request: Request<Incoming>) -> Response<Body> {
     let started_at = Instant::now();
     let guard = worker.shared.begin_call();
-    let is_sent = Cell::new(false);
+    let progress = CallProgress::default();
     let result = tokio::select! {
         biased;
-        result = process(&worker, request, started_at, &is_sent) => result,
-        () = worker.shared.stopping() => Err(error_at_stop(is_sent.get())),
+        result = process(&worker, request, started_at, &progress) => result,
+        () = worker.shared.stopping() => Err(error_at_stop(progress.is_sent.get())),
     };
     let result = result.map(|response| response.with_guard(guard));
     let code = result.as_ref().err().map_or(0, |error| error.code.number());
@@ -75,6 +84,9 @@
     if worker.shared.is_draining() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    if let Some(deadline) = progress.deadline.get() {
+        response.extensions_mut().insert(CallDeadline(deadline));
+    }
     response
 }
 
@@ -86,12 +98,12 @@
     }
 }
 
-/// Serves a call; sets `is_sent` before the call is sent to a target or its node.
+/// Serves a call and records its progress.
 async fn process(
     worker: &Worker,
     request: Request<Incoming>,
     started_at: Instant,
-    is_sent: &Cell<bool>,
+    progress: &CallProgress,
 ) -> Result<TargetResponse, CallError> {
     worker.shared.check_open()?;
     if worker.shared.in_flight() > MAX_IN_FLIGHT {
@@ -101,6 +113,7 @@
     let view = wait_for_view(&worker.shared, &parts).await?;
     let route = find_route(&parts, &view)?;
     let time = call_time(&worker.shared, &parts, route)?;
+    progress.deadline.set(Some(started_at + time));
     worker.shared.limit_to_shutdown(time, route.objective)?;
     let body = Body::read(incoming, view.limits().max_body_size.get());
     let body = tokio::time::timeout_at((started_at + time).into(), body).await;
@@ -122,7 +135,7 @@
         service_name,
         is_idempotent,
         is_bulk: route.semantics.is_some_and(Semantics::is_bulk),
-        is_sent,
+        is_sent: &progress.is_sent,
         objective: route.objective,
         attempt_limit: route.attempts,
         tried: Vec::new(),
--- a/crates/daemon/src/node/paced_stream.rs
+++ b/crates/daemon/src/node/paced_stream.rs
@@ -14,6 +14,7 @@
 use tokio::time::Sleep;
 
 use crate::node::bulk_link::Link;
+use crate::node::unwritten::UnwrittenResponses;
 
 /// Bytes that a task may read before others get their turn.
 ///
@@ -33,6 +34,8 @@
     /// Link that what is written leaves over, if any.
     link: Option<Arc<Link>>,
     write_limit: WriteLimit,
+    /// Responses that count as written when the stream is flushed.
+    unwritten: UnwrittenResponses,
     /// Time since which writes make no progress; `None` if the last one did.
     stalled_at: Option<Instant>,
     /// Fires at the write limit; set while the stream is stalled.
@@ -47,6 +50,7 @@
             pause: None,
             link: None,
             write_limit: WriteLimit::default(),
+            unwritten: UnwrittenResponses::default(),
             stalled_at: None,
             timeout: None,
         }
@@ -66,6 +70,12 @@
         Self { write_limit, ..self }
     }
 
+    /// Counts responses as written when the stream is flushed.
+    #[must_use]
+    pub(crate) fn with_unwritten(self, unwritten: UnwrittenResponses) -> Self {
+        Self { unwritten, ..self }
+    }
+
     /// Meters the outcome of a write.
     fn meter(
         &mut self,
@@ -152,7 +162,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // hyper flushes the stream only when it has written all that it held.
+        let outcome = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(outcome, Poll::Ready(Ok(()))) {
+            self.unwritten.record_flush();
+        }
+        outcome
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -29,6 +29,7 @@
 use crate::node::server::{Worker, serve_calls};
 use crate::node::shared::{LocalTarget, NodeShared};
 use crate::node::target_change::{TargetChange, TargetChanged};
+use crate::node::unwritten::CallDeadline;
 
 /// Maximum body size of a call between nodes; the node that a caller is connected to applies the configured limit.
 const MAX_CALL_BODY: ByteSize = ByteSize::mib(1_024);
@@ -88,9 +89,11 @@
         id,
         fingerprint,
     };
+    let deadline = CallDeadline(call.deadline);
     let outcome = call_local_target(&worker, &key, &envelope.instance, call).await;
     let (load, service_time) = (outcome.load, outcome.service_time);
     let mut response = respond(outcome.result);
+    response.extensions_mut().insert(deadline);
     if let Some(load) = load {
         write_load(response.headers_mut(), load, service_time);
     }
--- a/crates/daemon/src/node/server.rs
+++ b/crates/daemon/src/node/server.rs
@@ -2,11 +2,12 @@
 //!
 //! When a caller closes its connection, hyper drops the future of the handler, which cancels the call.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -24,6 +25,7 @@
 use crate::node::paced_stream::{PacedStream, WriteLimit};
 use crate::node::pool::Pool;
 use crate::node::shared::NodeShared;
+use crate::node::unwritten::{CallDeadline, ServedBody, UnwrittenResponses};
 
 /// Time for which sent data may stay unacknowledged before a connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -122,16 +124,20 @@
     let view = worker.shared.view.load();
     let limits = view.as_ref().map(|view| view.limits().clone()).unwrap_or_default();
     drop(view);
-    let write_limit = WriteLimit::default();
+    let write_limits = WriteLimits::default();
+    let unwritten = UnwrittenResponses::default();
     let stream = PacedStream::new(stream)
         .with_link(Some(&worker.shared.link))
-        .with_write_limit(Rc::clone(&write_limit));
-    let service = service_fn(move |request| {
-        let (response, write_limit) = (handler(worker.clone(), request), Rc::clone(&write_limit));
+        .with_write_limit(Rc::clone(&write_limits.current))
+        .with_unwritten(unwritten.clone());
+    let service = service_fn(|request| {
+        let guard = worker.shared.begin_response();
+        let (response, unwritten) = (handler(worker.clone(), request), unwritten.clone());
+        let write_limits = write_limits.clone();
         async move {
             let response = response.await;
-            write_limit.set(response.body().write_deadline());
-            Ok::<_, Infallible>(response)
+            write_limits.begin_response(&response);
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, guard, unwritten)))
         }
     });
     let mut builder = http1::Builder::new();
@@ -144,9 +150,11 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     // A connection that is opened during the shutdown gets one response, which closes it.
     let is_closing = *closing.borrow();
+    write_limits.is_closing.set(is_closing);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = wait_for_close(&mut closing), if !is_closing => {
+            write_limits.begin_close();
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -156,6 +164,33 @@
     }
 }
 
+/// Times until which the reader of a connection may stop reading.
+#[derive(Debug, Clone, Default)]
+struct WriteLimits {
+    /// Limit in effect.
+    current: WriteLimit,
+    /// Deadline of the call whose response is written; the limit in effect at a shutdown.
+    call_deadline: Rc<Cell<Option<Instant>>>,
+    is_closing: Rc<Cell<bool>>,
+}
+
+impl WriteLimits {
+    fn begin_response(&self, response: &Response<Body>) {
+        self.current.set(response.body().write_deadline());
+        let deadline = response.extensions().get::<CallDeadline>();
+        self.call_deadline.set(deadline.map(|deadline| deadline.0));
+        if self.is_closing.get() {
+            self.begin_close();
+        }
+    }
+
+    /// Ends a response that nobody reads at the deadline of its call, so that it holds up a shutdown no longer.
+    fn begin_close(&self) {
+        self.is_closing.set(true);
+        self.current.set(self.current.get().or(self.call_deadline.get()));
+    }
+}
+
 fn set_socket_options(stream: &TcpStream, schedules_link: bool) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -129,6 +129,8 @@
     /// Whether all new calls are refused and connections close after their next response.
     closing: watch::Sender<bool>,
     in_flight: InFlight,
+    /// Requests whose responses are not written completely.
+    open_responses: InFlight,
     /// Rate limit of log lines on calls that this node refuses, fails or retries.
     pub(crate) call_log_limiter: LogRateLimiter,
     /// Rate limit of log lines on calls that the local targets' admission refuses.
@@ -161,6 +163,7 @@
             stop_at: watch::Sender::new(None),
             closing: watch::Sender::new(false),
             in_flight: InFlight::default(),
+            open_responses: InFlight::default(),
             call_log_limiter: LogRateLimiter::new(MAX_CALL_LINES_PER_S),
             admission_log_limiter: LogRateLimiter::new(MAX_ADMISSION_LINES_PER_S),
         }
@@ -383,6 +386,16 @@
         self.in_flight.begin()
     }
 
+    /// Counts a response as open, from its request on, until the guard is dropped.
+    pub(crate) fn begin_response(&self) -> CallGuard {
+        self.open_responses.begin()
+    }
+
+    /// Returns the number of requests whose responses have not been written completely.
+    pub(crate) fn open_responses(&self) -> usize {
+        self.open_responses.count()
+    }
+
     /// Notifies the node's actor of a change; if its mailbox is full, a later call to the target or its next report does
     /// so again.
     pub(crate) fn report_change(&self, change: TargetChanged) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -208,7 +208,8 @@
 }
 
 impl RunningNode {
-    /// Directs callers to other nodes, refuses calls that would not finish in time, and waits for those in flight.
+    /// Directs callers to other nodes, refuses calls that would not finish in time, and waits until the responses to the
+    /// others have been written.
     async fn shut_down(&self) {
         let deadline = Instant::now() + self.shutdown_timeout;
         self.shared.begin_shutdown(deadline);
@@ -220,11 +221,13 @@
         tokio::time::sleep(NODE_NOTICE_PERIOD.min(self.shutdown_timeout / 10)).await;
         self.shared.close();
         Event::CallsDraining.emit(&[("calls", &self.shared.in_flight())]);
-        while self.shared.in_flight() > 0 && Instant::now() < deadline {
+        while self.shared.open_responses() > 0 && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        // Gives connections time to write the rest of their last responses.
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        let cut_off = self.shared.open_responses();
+        if cut_off > 0 {
+            Event::ResponsesCutOff.emit(&[("responses", &cut_off)]);
+        }
     }
 }
 
