Node: a departure that is reported during a planned stop is kept (DRAIN)

What callers saw: a target said that it leaves while its node was about to end, and was confirmed; after the restart of the node a report from before took it into use again. Cause: a node that has withdrawn its targets for a stop ignored all reports and answered them with 200. Change: reports that a target leaves are recorded, and stored by the source before they are confirmed.

--- a/crates/cli/tests/departed_targets.rs
+++ b/crates/cli/tests/departed_targets.rs
@@ -19,6 +19,9 @@
 /// Time in which a departure is confirmed, also while a member ends.
 const CONFIRMATION_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time after SIGTERM from which a node with a grace time of 6 s takes no target into use.
+const CLOSING_AFTER: Duration = Duration::from_millis(2_400);
+
 /// How a target says that it leaves.
 #[derive(Debug, Clone, Copy)]
 enum Departure {
@@ -203,6 +206,37 @@
     expect_gone_after_power_loss(&mut site, &targets);
 }
 
+/// A node that was about to end confirmed that a target leaves and recorded nothing: its next life took the target back.
+#[test]
+fn departure_during_stop_is_kept() {
+    let targets: [_; 2] =
+        std::array::from_fn(|_| ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO)));
+    let mut site = start_desk_nodes(&targets, &json!({}));
+    site.set_grace("node-1", 6.0);
+    site.wait("the node", |site| is_node_ready(site, "node-1").then_some(()));
+    assert_eq!(report_desk(&site, "node-1", &targets[0], &json!({ "sequence": 2 })).status, 200);
+    // A long call holds up the end of the process until the target has reported.
+    targets[0].set_behavior(TargetBehavior::Respond(Duration::from_millis(2_000)));
+    let callers = site.addresses("node-1").callers.clone();
+    site.signal("node-1", "-TERM");
+    std::thread::sleep(CLOSING_AFTER - Duration::from_millis(800));
+    let long_call = std::thread::spawn(move || {
+        let headers = "host: a.example\r\nx-call: c-long\r\nx-left: 2900\r\n";
+        request(&callers, "GET", "/read/1", headers, "").status
+    });
+    std::thread::sleep(Duration::from_millis(1_000));
+    let leaving = json!({ "state": "leaving", "sequence": 9 });
+    assert_eq!(report_desk(&site, "node-1", &targets[0], &leaving).status, 200);
+    assert!(site.wait_exited("node-1"), "the node ends by itself");
+    println!("the long call is answered with {}", long_call.join().expect("the call ends"));
+    targets[0].set_behavior(TargetBehavior::Respond(Duration::ZERO));
+    site.start_process("node-1");
+    site.wait("the restarted node", |site| is_node_ready(site, "node-1").then_some(()));
+    assert_eq!(report_desk(&site, "node-1", &targets[0], &json!({ "sequence": 8 })).status, 200);
+    assert_eq!(report_desk(&site, "node-2", &targets[1], &json!({ "sequence": 20 })).status, 200);
+    expect_no_calls(&site, &targets[0]);
+}
+
 /// Reports without a start time are ordered by their sequence within one life only.
 #[test]
 fn target_without_start_time_returns() {
--- a/crates/daemon/src/node/control/messages.rs
+++ b/crates/daemon/src/node/control/messages.rs
@@ -98,7 +98,8 @@
     fn handle(&mut self, message: Announce, _: &mut Self::Context) -> Self::Result {
         let leaving = message.report.as_ref().filter(|report| report.is_leaving);
         let leaving_start_ms = leaving.map(|report| report.start_time_ms);
-        if !self.is_closing {
+        // A node that stops takes no target into use, but what it confirms of a departure binds after its restart, too.
+        if !self.is_closing || leaving_start_ms.is_some() {
             self.announce(message);
         }
         match leaving_start_ms {
