--- a/crates/cli/tests/departed_targets.rs
+++ b/crates/cli/tests/departed_targets.rs
@@ -237,6 +237,18 @@
     expect_no_calls(&site, &targets[0]);
 }
 
+/// A deregistration with a start time in the future would keep out every later target of the VM.
+#[test]
+fn implausible_deregistration_is_refused() {
+    let target = ScriptedTarget::start(TargetBehavior::Respond(Duration::ZERO));
+    let site = start_desk_nodes(std::slice::from_ref(&target), &json!({}));
+    let body = json!({ "born": u64::MAX }).to_string();
+    let admin = &site.addresses("node-1").admin;
+    let deregistered = request(admin, "DELETE", "/v1/instances/i-9", "", &body);
+    assert_eq!(deregistered.status, 400);
+    expect_next_life(&site, &target);
+}
+
 /// Reports without a start time are ordered by their sequence within one life only.
 #[test]
 fn target_without_start_time_returns() {
--- a/crates/config/src/departures.rs
+++ b/crates/config/src/departures.rs
@@ -15,6 +15,13 @@
     changed_ms: u64,
 }
 
+impl Entry {
+    /// Returns whether the departure may be forgotten; other tables may have done so.
+    fn is_old(&self, now_ms: u64) -> bool {
+        now_ms >= self.changed_ms + DEPARTURE_TTL_MS
+    }
+}
+
 /// Departures by node; merging is idempotent and commutative.
 #[derive(Debug, Clone, Default)]
 pub struct DepartureTable {
@@ -25,13 +32,13 @@
 }
 
 impl DepartureTable {
-    /// Merges a departure; returns false if the table has it already.
+    /// Merges a departure; returns false if the table has it already and does not forget it soon.
     pub fn merge(&mut self, departure: &Departure, now_ms: u64) -> bool {
         let node = SmolStr::new(&departure.node);
         let mut merged = departure.clone();
         if let Some(entry) = self.entries.get(&node) {
             merge_departure(&mut merged, &entry.departure);
-            if merged == entry.departure {
+            if merged == entry.departure && !entry.is_old(now_ms) {
                 return false;
             }
             self.order.remove(&entry.position);
@@ -43,9 +50,10 @@
         true
     }
 
-    /// Returns whether the table has all that a departure states.
-    pub fn covers(&self, departure: &Departure) -> bool {
-        self.entries.get(departure.node.as_str()).is_some_and(|entry| {
+    /// Returns whether merging a departure would change nothing.
+    pub fn covers(&self, departure: &Departure, now_ms: u64) -> bool {
+        let entry = self.entries.get(departure.node.as_str());
+        entry.filter(|entry| !entry.is_old(now_ms)).is_some_and(|entry| {
             let mut merged = departure.clone();
             merge_departure(&mut merged, &entry.departure);
             merged == entry.departure
@@ -78,8 +86,7 @@
     /// Removes the departures that are older than they are kept.
     pub fn forget_old(&mut self, now_ms: u64) {
         while let Some(oldest) = self.order.first_entry() {
-            let changed_ms = self.entries.get(oldest.get()).map_or(0, |entry| entry.changed_ms);
-            if now_ms < changed_ms + DEPARTURE_TTL_MS {
+            if self.entries.get(oldest.get()).is_some_and(|entry| !entry.is_old(now_ms)) {
                 return;
             }
             self.entries.remove(&oldest.remove());
--- a/crates/config/tests/departures.rs
+++ b/crates/config/tests/departures.rs
@@ -41,7 +41,7 @@
         let mut position = 0;
         for (departure, pull) in departures.iter().zip(pulls) {
             sender.merge(departure, 0);
-            prop_assert!(sender.covers(departure));
+            prop_assert!(sender.covers(departure, 0));
             if pull {
                 sender.changed_since(position).for_each(|change| { receiver.merge(change, 0); });
                 position = sender.position();
@@ -98,3 +98,17 @@
     let size = kingcuplift_schema::Message::encoded_len(&submission(wall_ms, departures));
     assert!(size <= 150 * 40, "{size} bytes for 150 departures");
 }
+
+/// A node would wait for ever for a departure that the source still has and its relay has forgotten.
+#[test]
+fn old_departure_is_sent_again() {
+    let mut table = DepartureTable::default();
+    let known = departure(1, 5, 0, 0);
+    assert!(table.merge(&known, 1_000));
+    let position = table.position();
+    assert!(table.covers(&known, 999 + DEPARTURE_TTL_MS));
+    assert!(!table.merge(&known, 999 + DEPARTURE_TTL_MS));
+    assert!(!table.covers(&known, 1_000 + DEPARTURE_TTL_MS));
+    assert!(table.merge(&known, 1_000 + DEPARTURE_TTL_MS));
+    assert_eq!(table.changed_since(position).collect::<Vec<_>>(), [&known]);
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -164,7 +164,7 @@
     /// A target states fewer free slots than its node counts; it gets fewer calls until it states otherwise.
     TargetSlotsReduced = 410, Info;
     /// A target that leaves got no confirmation: the source has not stored its departure in time.
-    DepartureUnstored = 411, Warn;
+    DepartureUnconfirmed = 411, Warn;
     /// A call was refused and not executed; lines beyond a rate limit are only counted.
     CallRefused = 501, Warn;
     /// A call may have been executed but got no response from its target; lines beyond a rate limit are only counted.
--- a/crates/daemon/src/node/admin.rs
+++ b/crates/daemon/src/node/admin.rs
@@ -184,13 +184,19 @@
 
 /// Refuses numbers that no target states; one of them would outlast the target's own reports.
 fn check_plausible(body: &InstanceReportBody, warmup: Duration) -> Result<(), String> {
-    let latest_born = wall_ms().saturating_add(MAX_CLOCK_SKEW_MS);
     match body {
         _ if warmup > MAX_WARMUP => Err(format!("warmup_ms: above {}", MAX_WARMUP.as_millis())),
         body if body.slots > MAX_SLOTS => Err(format!("slots: above {MAX_SLOTS}")),
         body if body.sequence > MAX_SEQUENCE => Err(format!("sequence: above {MAX_SEQUENCE}")),
-        body if body.born > latest_born => Err("born: in the future".to_owned()),
-        _ => Ok(()),
+        body => check_start_time(body.born),
+    }
+}
+
+/// Refuses a start time in the future: it would outlast the target, and those that follow it.
+fn check_start_time(start_time_ms: u64) -> Result<(), String> {
+    match start_time_ms > wall_ms().saturating_add(MAX_CLOCK_SKEW_MS) {
+        true => Err("born: in the future".to_owned()),
+        false => Ok(()),
     }
 }
 
@@ -204,6 +210,10 @@
         true => DeregistrationBody::default(),
         false => serde_json::from_slice(&body).unwrap_or_default(),
     };
+    if let Err(detail) = check_start_time(body.born) {
+        Event::ReportRefused.emit(&[("instance", &instance), ("reason", &detail)]);
+        return Problem::new(ResultCode::AnnouncementMalformed, detail).into_response();
+    }
     let message =
         Deregister { instance: SmolStr::new(instance.as_str()), start_time_ms: body.born };
     confirm(&instance, actor.send(message).await)
@@ -214,7 +224,7 @@
     match is_stored {
         Ok(true) => HttpResponse::Ok().json(json!({})),
         Ok(false) => {
-            Event::DepartureUnstored.emit(&[("instance", &instance)]);
+            Event::DepartureUnconfirmed.emit(&[("instance", &instance)]);
             let detail = "the source has not stored the departure; repeat the request";
             Problem::new(ResultCode::DepartureUnconfirmed, detail).into_response()
         }
--- a/crates/daemon/src/node/control/departures.rs
+++ b/crates/daemon/src/node/control/departures.rs
@@ -7,7 +7,7 @@
 use kingcuplift_traffic::{DatedDepartures, ReportPosition, TargetKey};
 use tokio::sync::oneshot::{self, Sender};
 
-use crate::node::control::NodeActor;
+use crate::node::control::{InstanceReport, NodeActor};
 
 /// Time for which a target's report waits until its departure is stored; the target waits for a second.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
@@ -37,6 +37,15 @@
 }
 
 impl NodeActor {
+    /// Records whether a local target that reports on itself leaves.
+    pub(super) fn record_life(&mut self, report: &InstanceReport) {
+        match report.is_leaving {
+            true => self.departures.record_leaving(report.position()),
+            false => self.departures.begin_life(&report.instance),
+        }
+        self.send_departure();
+    }
+
     /// Sends the departures of local targets to be stored, unless they are.
     pub(super) fn send_departure(&self) {
         let Some(departures) = self.departures.unstored() else { return };
--- a/crates/daemon/src/node/control/local_targets.rs
+++ b/crates/daemon/src/node/control/local_targets.rs
@@ -1,6 +1,6 @@
 //! Local targets: registration, admission limits and announcement to other nodes.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,24 +68,27 @@
 
     /// Takes the local targets out of service that have ended, also those that were announced before this node's start.
     pub(super) fn withdraw_departed(&mut self) {
-        let instances = self.instances.iter();
-        let reported =
-            instances.filter(|(_, known)| self.has_ended(&known.report)).map(|(key, _)| key);
         let now = monotonic_ms();
+        let is_own = |key: &TargetKey| key.node == self.shared.name.as_str();
         let has_ended =
             |target: &Target| self.departures.has_ended(&target.instance, target.born, now);
-        let is_own = |key: &TargetKey| key.node == self.shared.name.as_str();
-        let announced = self.table.present();
         let announced =
-            announced.filter(|(key, target)| is_own(key) && has_ended(target)).map(|(key, _)| key);
-        let ended: BTreeSet<TargetKey> = reported.chain(announced).cloned().collect();
+            self.table.present().filter(|(key, target)| is_own(key) && has_ended(target));
+        let mut ended: BTreeMap<TargetKey, u64> =
+            announced.map(|(key, target)| (key.clone(), target.incarnation)).collect();
+        for (key, _) in self.instances.iter().filter(|(_, known)| self.has_ended(&known.report)) {
+            ended.entry(key.clone()).or_default();
+        }
         if ended.is_empty() {
             return;
         }
-        for key in &ended {
+        for (key, incarnation) in &ended {
             Event::TargetDrained.emit(&[("target", key)]);
+            // The announcement may be from before this node's start, by a clock that was ahead.
+            let known = self.incarnations.entry(key.clone()).or_default();
+            *known = (*known).max(*incarnation);
         }
-        let ended: Vec<TargetKey> = ended.into_iter().collect();
+        let ended: Vec<TargetKey> = ended.into_keys().collect();
         self.withdraw(&ended, TargetState::Gone);
     }
 
@@ -294,6 +297,9 @@
         let was_cold = !self.remaining_warmup(&key).is_zero();
         let changed = self.leases.renew(key.clone(), lease);
         let is_same_instance = self.record_instance(&key, message.report.as_ref());
+        if let Some(report) = &message.report {
+            self.record_life(report);
+        }
         let local_targets = self.shared.local_targets.load();
         let existing = local_targets
             .get(&key)
@@ -370,11 +376,6 @@
             .get(key)
             .map(|known| (known.report.start_time_ms, known.report.instance.clone()));
         let is_same = previous == Some((report.start_time_ms, report.instance.clone()));
-        match report.is_leaving {
-            true => self.departures.record_leaving(report.position()),
-            false => self.departures.begin_life(&report.instance),
-        }
-        self.send_departure();
         self.instances.insert(
             key.clone(),
             KnownInstance {
--- a/crates/daemon/src/relay/actor.rs
+++ b/crates/daemon/src/relay/actor.rs
@@ -176,7 +176,9 @@
     /// Passes a node's departure on to the source, unless it is stored; the node repeats it until then.
     fn forward_departure(&mut self, session: SessionId, departure: Departure) {
         let sender = self.fanout.get_mut(session).map(|node| node.name.as_str());
-        if sender == Some(departure.node.as_str()) && !self.departures.covers(&departure) {
+        if sender == Some(departure.node.as_str())
+            && !self.departures.covers(&departure, monotonic_ms())
+        {
             self.send_to_source(upward::Body::Departure(departure));
         }
     }
--- a/crates/daemon/src/source/departures.rs
+++ b/crates/daemon/src/source/departures.rs
@@ -48,7 +48,7 @@
 impl SourceActor {
     /// Queues a departure unless it is stored; its node repeats it until then.
     pub(crate) fn handle_departure(&mut self, departure: Departure) {
-        if !self.catalog.departures().covers(&departure) {
+        if !self.catalog.departures().covers(&departure, wall_ms()) {
             self.relays.departures.push(departure);
             self.store_departures();
         }
