--- a/crates/traffic/tests/departures.rs
+++ b/crates/traffic/tests/departures.rs
@@ -1,6 +1,6 @@
 //! Departed targets: no delayed report brings one back, and its next life is taken into use at once.
 
-use kingcuplift_traffic::{DatedDepartures, Departures, ReportPosition};
+use kingcuplift_traffic::{DatedDepartures, Departures, Lease, Leases, ReportPosition, TargetKey};
 use rstest::rstest;
 use smol_str::SmolStr;
 
@@ -138,3 +138,104 @@
     assert!(departures.is_outdated(&INSTANCE, position(BORN + 1, 2), NOW));
     assert_eq!(departures.unstored(), None);
 }
+
+/// What happens to a target beside a node, besides its reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Its lease ends, as its reports are lost.
+    LeaseEnd,
+    /// The node starts again, and learns what the source has stored.
+    Restart,
+    /// The target deregisters.
+    Deregistration,
+    /// A report from before the deregistration arrives.
+    LateReport,
+}
+
+/// A node without its sockets: leases, departures, and what the source has stored.
+#[derive(Debug, Default)]
+struct Node {
+    leases: Leases,
+    departures: Departures,
+    stored: DatedDepartures,
+}
+
+impl Node {
+    fn key() -> TargetKey {
+        let [service, version, node] = ["desk", "v1", "node-1"].map(SmolStr::new_static);
+        TargetKey { service, version, node }
+    }
+
+    fn serves(&self) -> bool {
+        self.leases.get(&Self::key()).is_some()
+    }
+
+    fn report(&mut self, position: ReportPosition, now_ms: u64) {
+        if self.departures.is_outdated(&INSTANCE, position, now_ms) {
+            return;
+        }
+        self.departures.begin_life(&INSTANCE);
+        let lease = Lease { address: "a".to_owned(), slots: 1, until_ms: now_ms + 6_000 };
+        self.leases.renew(Self::key(), lease);
+    }
+
+    fn deregister(&mut self, born: u64, now_ms: u64) {
+        match born {
+            0 => self.departures.record_undated_end(&INSTANCE, LEFT_AT, now_ms),
+            _ => self.departures.record_end(born),
+        }
+        self.leases.remove(&Self::key());
+        self.stored = self.departures.unstored().unwrap_or(self.stored);
+        self.departures.record_stored(self.stored);
+    }
+
+    fn take(&mut self, step: Step, born: u64, now_ms: u64) {
+        match step {
+            Step::LeaseEnd => drop(self.leases.remove(&Self::key())),
+            Step::Restart => {
+                (self.leases, self.departures) = (Leases::default(), Departures::default());
+                self.departures.record_stored(self.stored);
+            }
+            Step::Deregistration => self.deregister(born, now_ms),
+            Step::LateReport => self.report(position(born, LAST_SEQUENCE), now_ms),
+        }
+    }
+}
+
+/// Returns all orders of the steps.
+fn orders() -> Vec<Vec<Step>> {
+    let steps = [Step::LeaseEnd, Step::Restart, Step::Deregistration, Step::LateReport];
+    let mut orders = vec![Vec::new()];
+    for _ in steps {
+        let longer = |order: &Vec<Step>| {
+            let missing = steps.iter().filter(|step| !order.contains(step));
+            missing.map(|step| [order.as_slice(), &[*step]].concat()).collect::<Vec<_>>()
+        };
+        orders = orders.iter().flat_map(longer).collect();
+    }
+    orders
+}
+
+/// In some orders of the end of a lease, a restart, a deregistration and a late report, the target was used again; its next
+/// life must be used at once in all of them.
+#[rstest]
+#[case::dated(BORN)]
+#[case::undated(0)]
+fn departure_holds_in_any_order(#[case] born: u64) {
+    let orders = orders();
+    assert_eq!(orders.len(), 24);
+    for order in orders {
+        let mut node = Node::default();
+        node.report(position(born, LAST_SEQUENCE - 1), NOW);
+        assert!(node.serves());
+        for (number, step) in order.iter().enumerate() {
+            node.take(*step, born, NOW + 1_000 * number as u64);
+        }
+        let place = |step: Step| order.iter().position(|other| *other == step);
+        let is_forgotten = born == 0 && place(Step::Restart) > place(Step::Deregistration);
+        assert!(is_forgotten || !node.serves(), "{order:?}");
+        let next_born = if born == 0 { 0 } else { LEFT_AT + 1 };
+        node.report(position(next_born, 1), NOW + 5_000);
+        assert!(node.serves(), "the next life after {order:?}");
+    }
+}
